--- /dev/null
+++ b/src/control.rs
@@ -0,0 +1,913 @@
+//! Every decision of a gateway. Types, events and actions are in `src/interface.rs`.
+//! A request is counted, its customer's bucket asked, then its cell's admit fraction, then a server chosen;
+//! an outcome is measured, retried or answered. Once an interval the fractions move.
+
+use crate::decayed::Decayed;
+use crate::gossip::{self, CellNews, Message};
+use crate::interface::*;
+use rand_pcg::rand_core::{RngCore, SeedableRng};
+use rand_pcg::Pcg64Mcg;
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+
+// ---- Constants -----------------------------------------------------------------------------------
+
+const INTERVAL_US: Micros = 1_000_000; // µs; control interval: tens of answers, short beside troubles
+const INTERVAL_S: f64 = INTERVAL_US as f64 / 1e6; // s
+const STEP: f64 = 0.1; // grid of the fractions (the paper's)
+const BOUND: f64 = 0.5; // of the aim: a mean at the aim itself has half the answers late
+const FREE_OUT: f64 = 4.0; // attempts a server, all gateways, that mean no queue: some cores busy
+const CHEAP: f64 = 0.5; // of the bound that a class worth nothing for its work may fill
+const PEAK_KEPT: f64 = 0.97; // of the best throughput seen, an interval: servers and load change in tens of s
+const FLOOR_DRIFT: f64 = 1.01; // growth of the lowest latency an interval, to forget an old floor
+const ENOUGH: u32 = 3; // answers that make a mean worth acting on
+const ODDS_TAU_US: f64 = 20_000_000.0; // µs; memory for how many asks found room
+const RATE_TAU_US: f64 = 3_000_000.0; // µs; time constant of rates: customers move within seconds
+const NEWS_TO: u32 = 2; // peers told the fractions and rates an interval: a sample, whatever the fleet's size
+const HEARD_US: Micros = 1_500_000; // µs; what was heard counts this long, then the even slice holds
+const ASK_US: Micros = 100_000; // µs; a keeper's answer is awaited this long, twice: short beside any aim
+const LEASE: f64 = 3.0; // mean attempts that a place given out is kept for, in case its return is lost
+const MESSAGE_BYTES: usize = 256; // bytes; longest peer message (the wire's)
+const COUNT_TTL_US: Micros = 60_000_000; // µs; life of a count (the counter's most), and of its name
+const POST_SHARE: f64 = 0.25; // of the burst slice: use is posted in lumps while the store is half full
+const CALLS_START: f64 = 1500.0; // calls a second to the counter, all gateways, until its answers tell more
+const CALLS_LEAST: f64 = 0.2; // calls a second that are always tried, to see it recover
+const FIXERS: u32 = 4; // one in so many calls that finds a count out of step sets it right
+const SLOW_CALL_US: Micros = 30_000; // µs; an answer later than this says that calls wait in line
+const IDLE_US: Micros = 30_000_000; // µs; an idle customer is forgotten: a store of seconds is full again
+const CUSTOMERS_MAX: usize = 65_536; // remembered at most; others are refused until some age out
+const RETRY_AFTER_MIN_US: f64 = 100_000.0; // µs; shortest retry-after: less is no rest for anyone
+const MARGIN_US: Micros = 20_000; // µs before its client leaves a held request is answered: several ticks
+const RETRY_SHARE: f64 = 0.15; // budget tokens for further attempts a first attempt earns...
+const RETRY_MOST: f64 = 10.0; // ...and the most kept: they stay a small share of load
+const ANSWER_WEIGHT: f64 = 0.2; // weight of one answer in a server's averages: about the last five
+const UNREACHABLE_WEIGHT: f64 = 0.8; // weight of a failed connection: nobody is there
+const FORGET_US: f64 = 4_000_000.0; // µs; what is thought of a silent server halves in this, or later:
+const FORGET_VISITS: f64 = 2.0; // ...only after as long as this many sends to each server take from here
+const CHANCE: f64 = 1.5; // slowness up to this is chance: work differs more than servers do
+const CHOICE_CHANCE: f64 = 0.3; // least of a request that is chance in the choice, so gateways begin apart
+const ERROR_COST: f64 = 10.0; // times dearer is a server that fails everything
+const COLD_SHARE: f64 = 0.5; // of the cold budget that this gateway lets itself use
+
+/// One gateway's whole state.
+pub struct Gateway {
+    set: Settings,
+    rng: Pcg64Mcg,
+    now: Micros,
+    cells: Vec<Cell>,
+    latency: Vec<ClassLatency>,
+    done: f64,       // answers in this interval
+    throughput: f64, // best rate of answers of late for a unit of ready size
+    customers: BTreeMap<u32, Customer>,
+    calls: Calls,
+    odds: Vec<[Decayed; 2]>, // by plan: asks answered of late without room, and with
+    quotas: Vec<Quota>,
+    attempt_s: f64,                                      // mean time of an attempt
+    counting: BTreeMap<String, (u32, f64, f64, Micros)>, // calls out: customer, amount, of it wanted, when
+    heard_rates: Vec<Decayed>,                           // admitted rates told by peers, by cell
+    heard_news: Decayed,                                 // how many told them
+    servers: BTreeMap<ServerId, Server>,
+    send_rate: Decayed,
+    requests: BTreeMap<RequestId, Pending>,
+    waiting: BTreeSet<RequestId>,
+    retry_tokens: f64,
+    started: Option<Micros>,
+}
+
+// ---- Admission fractions -------------------------------------------------------------------------
+
+/// A class of one plan: what the paper calls a service.
+#[derive(Clone, Default)]
+struct Cell {
+    fraction: f64,
+    arrivals: f64,
+    admitted: f64,
+    admitted_rate: f64, // admitted a second in the last interval, as peers are told
+}
+
+#[derive(Clone, Default)]
+struct ClassLatency {
+    units: f64, // mean units of a request, so that a large one is not taken for a slow server
+    sum: f64,
+    count: u32,
+    mean: f64,   // last interval's mean, µs; 0: nothing measured yet
+    lowest: f64, // lowest recent mean, µs
+}
+
+impl Gateway {
+    fn bound(&self, class: usize) -> f64 {
+        self.set.classes[class].aim_us as f64 * BOUND
+    }
+
+    /// Worth of a class for a second of work, before the plan's price.
+    fn value(&self, class: usize) -> f64 {
+        let l = &self.latency[class];
+        self.set.classes[class].worth * l.units / l.lowest.max(1.0)
+    }
+
+    fn move_fractions(&mut self) -> Option<String> {
+        let mut over = None;
+        for (c, l) in self.latency.iter_mut().enumerate() {
+            if l.count >= ENOUGH {
+                l.mean = l.sum / f64::from(l.count);
+                l.lowest = if l.lowest > 0.0 { (l.lowest * FLOOR_DRIFT).min(l.mean) } else { l.mean };
+                over = over.or((l.mean > self.set.classes[c].aim_us as f64 * BOUND).then_some(c));
+                (l.sum, l.count) = (0.0, 0);
+            }
+        }
+        let rate = std::mem::take(&mut self.done) / INTERVAL_S / self.ready_size().max(1e-9);
+        self.throughput = rate.max(self.throughput * PEAK_KEPT);
+        self.set_quotas();
+        let before = self.cells.iter().any(|c| c.fraction < 1.0);
+        let targets = if over.is_some() { Vec::new() } else { self.targets() };
+        for (i, c) in self.cells.iter_mut().enumerate() {
+            let moved = match targets.get(i) {
+                None => c.fraction - STEP,
+                // Halfway, on the grid, rounded towards the target so that it is reached.
+                Some(&t) if t > c.fraction => ((c.fraction + t) / 2.0 / STEP - 1e-9).ceil() * STEP,
+                Some(&t) => ((c.fraction + t) / 2.0 / STEP + 1e-9).floor() * STEP,
+            };
+            c.fraction = moved.clamp(0.0, 1.0);
+            c.admitted_rate = c.admitted / INTERVAL_S;
+            (c.arrivals, c.admitted) = (0.0, 0.0);
+        }
+        match over {
+            Some(c) if !before => Some(format!("shedding: class {} over bound", self.set.classes[c].name)),
+            None if before && self.cells.iter().all(|c| c.fraction >= 1.0) => Some("shedding over".into()),
+            _ => None,
+        }
+    }
+
+    fn ready(&self) -> impl Iterator<Item = &Server> {
+        self.servers.values().filter(|s| s.health == Health::Ready)
+    }
+
+    fn ready_size(&self) -> f64 {
+        self.ready().map(|s| s.share * s.warmth(&self.set.cold, self.now)).sum()
+    }
+
+    /// Exception to the paper: by Little's law what is out, over the throughput, is how long a new request
+    /// takes; past the bound it is refused at once, since retries fill queues before a fraction moves. Hurts
+    /// where recent throughput is far below what servers can do, so a few attempts a server are always free.
+    fn crowded(&self, class: usize) -> bool {
+        let out: f64 = self.servers.values().map(|s| f64::from(s.out)).sum();
+        let free = self.ready().count() as f64 * FREE_OUT / f64::from(self.set.gateways);
+        let rate = self.throughput * self.ready_size();
+        // One queue holds every class: the tightest bound holds for all, and the cheapest work waits first.
+        let seen = || (0..self.latency.len()).filter(|&c| c == class || self.latency[c].lowest > 0.0);
+        let best = seen().map(|c| self.value(c)).fold(f64::MIN_POSITIVE, f64::max);
+        let tightest = seen().map(|c| self.bound(c)).fold(f64::MAX, f64::min);
+        let bound = tightest * (CHEAP + (1.0 - CHEAP) * self.value(class) / best);
+        out > free && rate > 0.0 && out / rate > bound / 1e6
+    }
+
+    /// Targets that maximise worth under each class's bound by M/G/1 delay; 1 where the model finds no fit.
+    fn targets(&self) -> Vec<f64> {
+        let plans = self.set.plans.len();
+        let ready = self.ready().count().max(1) as f64;
+        let told = self.heard_news.at(self.now, RATE_TAU_US);
+        let peers = if told > 0.1 { f64::from(self.set.gateways - 1) / told } else { 0.0 };
+        let load = |(i, c): (usize, &Cell)| {
+            let rate = c.arrivals / INTERVAL_S + self.heard_rates[i].at(self.now, RATE_TAU_US) * peers;
+            (rate / ready, self.latency[i / plans].lowest / 1e6)
+        };
+        let load: Vec<(f64, f64)> = self.cells.iter().enumerate().map(load).collect();
+        let mut fractions = vec![1.0; load.len()];
+        let fits = |fractions: &[f64]| {
+            let (mut rate, mut busy, mut square) = (0.0, 0.0, 0.0);
+            for (f, (r, x)) in fractions.iter().zip(&load) {
+                (rate, busy, square) = (rate + f * r, busy + f * r * x, square + f * r * x * x);
+            }
+            let wait = square / (2.0 * (1.0 - busy));
+            let over = |i: usize| fractions[i] > 0.0 && load[i].1 + wait > self.bound(i / plans) / 1e6;
+            busy < 1.0 && (rate <= 0.0 || !(0..fractions.len()).any(over))
+        };
+        if load.iter().map(|(r, x)| r * x).sum::<f64>() >= 1.0 || fits(&fractions) {
+            return fractions;
+        }
+        // Greedy: by worth for a second of work, each cell as far as the bound allows.
+        let value = |i: usize| self.value(i / plans) * self.set.plans[i % plans].price;
+        let mut order: Vec<usize> = (0..load.len()).collect();
+        order.sort_by(|&a, &b| value(b).total_cmp(&value(a)));
+        fractions.fill(0.0);
+        for i in order {
+            let fraction = |tenth: i32| f64::from(tenth) * STEP;
+            let mut with = |f: f64| (fractions[i] = f, fits(&fractions)).1;
+            (0..=10).rev().find(|&tenth| with(fraction(tenth)));
+        }
+        let none = fractions.iter().all(|&f| f == 0.0);
+        fractions.iter().map(|&f| if none { 1.0 } else { f }).collect()
+    }
+}
+
+// ---- Quota buckets and ceilings ------------------------------------------------------------------
+
+#[derive(Default)]
+struct Customer {
+    plan: usize,
+    width: u32,
+    keeper: u32,
+    kept: bool, // this gateway adds up the customer's use: its keeper, or the only one that sees it
+    level: f64, // in this gateway's bucket
+    ceiling: f64, // units in this gateway's slice of the ceiling
+    at: Micros,
+    active_at: Micros,
+    open: u32,
+    demand: Decayed,
+    others: Decayed,
+    heard_at: Option<Micros>,
+    asking: u8,               // asks out for this customer
+    held: Vec<RequestId>,     // requests that wait for the answer
+    unposted: f64,            // used and not yet told; below 0: told and not used
+    leases: VecDeque<Micros>, // as keeper of a cap: places given to others, till when
+    counted: Option<f64>,
+}
+
+impl Customer {
+    fn heard(&self, now: Micros) -> bool {
+        self.kept || self.heard_at.is_some_and(|t| now.saturating_sub(t) <= HEARD_US)
+    }
+
+    /// The even slice of the store is under one request.
+    fn thin(&self, q: &Quota) -> bool {
+        q.most < q.largest * f64::from(self.width)
+    }
+
+    /// This gateway's part of the quota: of recent demand, floored at the even slice, which holds unheard.
+    fn part(&self, now: Micros) -> f64 {
+        let (mine, others) = (self.demand.at(now, RATE_TAU_US), self.others.at(now, RATE_TAU_US));
+        let part = if self.heard(now) && mine + others > 0.0 { mine / (mine + others) } else { 0.0 };
+        part.max(if self.kept { 1.0 } else { 1.0 / f64::from(self.width) })
+    }
+
+    fn refill(&mut self, q: &Quota, now: Micros) {
+        let (s, width) = (now.saturating_sub(self.at) as f64 / 1e6, f64::from(self.width));
+        self.at = now;
+        // Unheard, the slice of many gateways is less than one request: it is saved up to the largest.
+        let slice = (q.most / width).max(q.largest).min(q.most);
+        let heard = self.heard(now);
+        // What was told is no longer ours to use: a slice under one request begins afresh.
+        let over = !heard && self.thin(q) && self.heard_at.take().is_some();
+        self.level = self.level.min(if over { 0.0 } else { q.most });
+        let fill = if heard && q.places { 0.0 } else { q.rate * self.part(now) };
+        self.level = (self.level + fill * s).min(if heard { q.most } else { slice });
+        // A restarted gateway begins with nothing of the ceiling, so that no restart mints a second burst.
+        let ceiling = q.ceiling.unwrap_or(Ceiling { rate: 0.0, depth: 0.0 });
+        self.ceiling = (self.ceiling + ceiling.rate / width * s).min(ceiling.depth / width);
+        self.leases.retain(|&t| t > now);
+        if q.places && self.kept {
+            self.level = q.most - f64::from(self.open) - self.leases.len() as f64;
+        }
+    }
+
+    /// Whether the store surely holds the units: since told, the others used the whole rate, or nothing.
+    fn sure(&self, q: &Quota, units: f64, now: Micros) -> Option<bool> {
+        let heard_at = if self.kept { now } else { self.heard_at? };
+        let since = now.saturating_sub(heard_at) as f64 / 1e6 * q.rate;
+        let (holds, most) = (self.level - since >= units, self.level + since * (1.0 - self.part(now)));
+        (self.kept || !q.places && (holds || most < units)).then_some(holds)
+    }
+
+    /// An attempt begins or ends; where only attempts are capped, that is what the keeper adds up.
+    fn place(&mut self, q: &Quota, begins: bool, now: Micros) {
+        self.open = if begins { self.open + 1 } else { self.open.saturating_sub(1) };
+        if q.places && !self.kept {
+            self.unposted += if begins { 1.0 } else { -1.0 };
+            self.level += if begins { -1.0 } else { f64::from(u8::from(self.heard(now))) };
+        }
+    }
+}
+
+/// A plan's quota as a store: of units, or of places that attempts take and, unheard, give back in time.
+#[derive(Clone, Copy)]
+struct Quota {
+    rate: f64,
+    most: f64,
+    largest: f64,
+    places: bool,
+    ceiling: Option<Ceiling>,
+}
+
+impl Gateway {
+    fn customer(&mut self, tag: u32, plan: usize, width: u32, keeper: u32) -> Option<&mut Customer> {
+        if !self.customers.contains_key(&tag) {
+            (self.customers.len() < CUSTOMERS_MAX).then_some(())?;
+            let kept = width <= 1 || (keeper == self.set.me && self.set.peer_messages && !self.set.counter);
+            let level = self.quotas[plan].most / f64::from(width);
+            let at = self.started.unwrap_or(self.now).max(self.now.saturating_sub(IDLE_US));
+            let c = Customer { plan, width, keeper, kept, level, at, ..Customer::default() };
+            self.customers.insert(tag, c);
+        }
+        self.customers.get_mut(&tag)
+    }
+
+    fn set_quotas(&mut self) {
+        let (set, classes) = (&self.set, self.set.classes.len() as f64);
+        let least = |(l, c): (&ClassLatency, &Class)| l.mean.max(c.aim_us as f64 / 8.0) / 1e6;
+        self.attempt_s = self.latency.iter().zip(&set.classes).map(least).sum::<f64>() / classes;
+        let store = |p: &Plan| {
+            let most = if p.max_open > 0 { f64::from(p.max_open) } else { 1e12 };
+            let (rate, most, largest) = match p.rate > 0.0 {
+                true => (p.rate, p.burst, set.most_units),
+                false => (most / self.attempt_s, most, 1.0),
+            };
+            Quota { rate, most, largest, places: p.rate <= 0.0 && p.max_open > 0, ceiling: p.ceiling }
+        };
+        self.quotas = set.plans.iter().map(store).collect();
+    }
+
+    fn draw(&mut self, id: RequestId) -> bool {
+        let Some(p) = self.requests.get(&id) else { return false };
+        let (units, Some(c)) = (p.units, self.customers.get_mut(&p.customer)) else { return true };
+        let q = self.quotas[c.plan];
+        c.refill(&q, self.now);
+        if q.ceiling.is_some() && c.ceiling < units {
+            return false;
+        }
+        c.ceiling -= units;
+        if !q.places && c.level >= units {
+            c.level -= units;
+            c.unposted += units;
+        }
+        true
+    }
+}
+
+// ---- Asking the counter or the keeper --------------------------------------------------------------
+
+/// Calls to the counter: as many a second as it answers quickly. The fleet shares it, so each backs off.
+struct Calls {
+    rate: f64,
+    tokens: f64,
+    at: Micros,
+}
+
+impl Calls {
+    fn take(&mut self, now: Micros) -> bool {
+        let s = now.saturating_sub(self.at) as f64 / 1e6;
+        self.tokens = (self.tokens + self.rate * s).min(1.0 + self.rate / 4.0);
+        self.at = now;
+        let may = self.tokens >= 1.0;
+        self.tokens -= f64::from(u8::from(may));
+        may
+    }
+
+    /// Slow, refused and lost calls lower the rate, quick ones win it back.
+    fn learn(&mut self, quick: bool) {
+        let (up, down) = ((self.rate * 1.05 + 0.1).min(CALLS_START), (self.rate * 0.8).max(CALLS_LEAST));
+        self.rate = if quick { up } else { down };
+    }
+}
+
+impl Gateway {
+    fn tell_news(&mut self, out: &mut Vec<Action>) {
+        let cell = |c: &Cell| CellNews { fraction: c.fraction, admitted: c.admitted_rate };
+        let bytes = gossip::encode(&Message::News(self.cells.iter().map(cell).collect()), MESSAGE_BYTES);
+        let others = if self.set.peer_messages { self.set.gateways - 1 } else { 0 };
+        let first = self.rng.next_u32() % others.max(1);
+        let to = |k| (self.set.me + 1 + (first + k) % others) % self.set.gateways;
+        out.extend((0..NEWS_TO.min(others)).map(|k| Action::Tell { to: to(k), bytes: bytes.clone() }));
+    }
+
+    /// Exception to the design: one of many gateways knows nothing of a customer, so a request waits some ms
+    /// for the counter, or for the one of its gateways that adds up for all. False: nobody can be asked now.
+    fn ask(&mut self, id: RequestId, out: &mut Vec<Action>) -> bool {
+        let Some(p) = self.requests.get(&id) else { return false };
+        let (customer, units, left) = (p.customer, p.draws, p.deadline.saturating_sub(self.now));
+        let Some(c) = self.customers.get(&customer) else { return false };
+        // A client about to leave cannot wait for an answer.
+        if left < 4 * MARGIN_US || !(self.set.counter || self.set.peer_messages) {
+            return false;
+        }
+        // Where a "no" is likely it only reads: what is not added need not be taken back.
+        let unlikely = self.set.counter && c.heard(self.now) && c.level < units;
+        let ask = c.asking == 0;
+        if ask && self.set.counter && !self.calls.take(self.now) {
+            return false;
+        } else if ask {
+            self.send_ask(customer, if unlikely { 0.0 } else { units }, out);
+        }
+        let Some(c) = self.customers.get_mut(&customer) else { return false };
+        c.held.push(id);
+        c.asking = c.asking.max(1);
+        let after_us = ASK_US.min((left - MARGIN_US) / 2);
+        out.push(Action::SetTimer { after_us, timer: Timer::Request(id) });
+        true
+    }
+
+    fn send_ask(&mut self, customer: u32, wanted: f64, out: &mut Vec<Action>) {
+        let Some(c) = self.customers.get_mut(&customer) else { return };
+        let unposted = std::mem::take(&mut c.unposted);
+        if self.set.counter {
+            let name = format!("{customer:08x}:{}", self.now / COUNT_TTL_US);
+            let amount = unposted + wanted;
+            (c.asking, c.unposted) = (1, -wanted);
+            self.counting.insert(name.clone(), (customer, amount, wanted, self.now));
+            return out.push(Action::Count { name, amount, ttl_us: COUNT_TTL_US });
+        }
+        if self.set.peer_messages {
+            let (plan, width) = (c.plan as u8, c.width.min(65_535) as u16);
+            let ask = Message::Ask { tag: customer, plan, width, wanted, extra: unposted };
+            out.push(Action::Tell { to: c.keeper, bytes: gossip::encode(&ask, MESSAGE_BYTES) });
+        }
+    }
+
+    /// Tells what was used unasked or asked for in vain: in lumps while the store is full, else at once.
+    fn post(&mut self, customer: u32, out: &mut Vec<Action>) {
+        let Some(c) = self.customers.get(&customer) else { return };
+        let most = self.quotas[c.plan].most;
+        let lump = (POST_SHARE * most / f64::from(c.width)).max(0.01);
+        let due = c.unposted.abs() >= if c.level < most / 2.0 { 0.01 } else { lump };
+        if due && !c.kept && c.asking == 0 && (!self.set.counter || self.calls.take(self.now)) {
+            self.send_ask(customer, 0.0, out);
+        }
+    }
+
+    fn answered(&mut self, customer: u32, out: &mut Vec<Action>) {
+        let Some(c) = self.customers.get_mut(&customer) else { return };
+        if c.heard_at == Some(self.now) && !c.held.is_empty() {
+            self.odds[c.plan][usize::from(c.level >= 1.0)].add(self.now, ODDS_TAU_US, 1.0);
+        }
+        c.asking = 0;
+        std::mem::take(&mut c.held).into_iter().for_each(|id| self.decide(id, true, out));
+        self.post(customer, out);
+    }
+
+    /// What does not parse is dropped whole; nothing heard ever touches a ceiling slice.
+    fn hear_peer(&mut self, from: u32, bytes: &[u8], out: &mut Vec<Action>) {
+        let (now, me) = (self.now, self.set.me);
+        match gossip::decode(bytes).filter(|_| from != me && from < self.set.gateways) {
+            Some(Message::News(cells)) => {
+                self.heard_news.add(now, RATE_TAU_US, 1.0);
+                for (heard, c) in self.heard_rates.iter_mut().zip(cells) {
+                    heard.add(now, RATE_TAU_US, c.admitted.max(0.0));
+                }
+            }
+            Some(Message::Ask { tag, plan, width, wanted, extra }) => {
+                let (plan, width) = (usize::from(plan), u32::from(width).clamp(1, self.set.gateways));
+                let Some(&q) = self.quotas.get(plan).filter(|_| !self.set.counter) else { return };
+                let lapse = now + (LEASE * self.attempt_s * 1e6) as Micros;
+                let Some(c) = self.customer(tag, plan, width, me).filter(|c| c.keeper == me) else { return };
+                (c.kept, c.active_at) = (true, now);
+                c.demand.add(now, RATE_TAU_US, wanted.max(0.0) + extra.max(0.0));
+                if q.places {
+                    c.leases.drain(..(-extra).clamp(0.0, c.leases.len() as f64) as usize);
+                    c.leases.extend(std::iter::repeat_n(lapse, extra.clamp(0.0, q.most) as usize));
+                } else {
+                    c.level = (c.level - extra).clamp(-q.most, q.most);
+                }
+                c.refill(&q, now);
+                let (level, granted) = (c.level, if c.level >= wanted { wanted.max(0.0) } else { 0.0 });
+                c.level -= granted;
+                c.leases.extend(std::iter::repeat_n(lapse, if q.places { granted as usize } else { 0 }));
+                let answer =
+                    Message::Answer { tag, granted, level, demand: c.demand.per_s(now, RATE_TAU_US) };
+                let bytes = gossip::encode(&answer, MESSAGE_BYTES);
+                out.extend((wanted > 0.0).then_some(Action::Tell { to: from, bytes }));
+            }
+            Some(Message::Answer { tag, granted, level, demand }) => {
+                let Some(c) = self.customers.get_mut(&tag).filter(|c| c.keeper == from) else { return };
+                let q = self.quotas[c.plan];
+                c.unposted -= granted;
+                (c.level, c.heard_at, c.at) = (level.clamp(-q.most, q.most), Some(now), now);
+                let mine = c.demand.at(now, RATE_TAU_US);
+                c.others = Decayed::new(now, (demand * RATE_TAU_US / 1e6 - mine).max(0.0));
+                self.answered(tag, out);
+            }
+            None => {}
+        }
+    }
+
+    /// What all have used in the count's life, beside what filled in since, is the store's level. What
+    /// overflowed while it was full is made up for in the count.
+    fn on_counted(&mut self, name: &str, status: Status, total: f64, out: &mut Vec<Action>) {
+        let Some((customer, amount, wanted, sent)) = self.counting.remove(name) else { return };
+        let quick = status == Status::Served && self.now.saturating_sub(sent) <= SLOW_CALL_US;
+        self.calls.learn(quick);
+        let Some(c) = self.customers.get_mut(&customer) else { return };
+        let q = self.quotas[c.plan];
+        if status == Status::Served && total.is_finite() {
+            let filled = if q.places { 0.0 } else { q.rate * (sent % COUNT_TTL_US) as f64 / 1e6 };
+            let (most, level) = (q.most, q.most + filled - (total - wanted));
+            // Of many gateways who makes the count sets it right, later few do, lest all overshoot in turn.
+            let few = !c.thin(&q);
+            let fixes = few || total == amount || self.rng.next_u32() < u32::MAX / FIXERS;
+            if fixes && (level > if few { 1.1 } else { 1.5 } * most || level < -most) {
+                c.unposted += (level - most).max(level.min(0.0)).clamp(-1e6, 1e6);
+            }
+            let others = c.counted.map_or(0.0, |last| (total - amount - last).max(0.0));
+            c.counted = Some(total);
+            c.others.add(self.now, RATE_TAU_US, others.min(most));
+            (c.level, c.heard_at, c.at) = (level.clamp(-most, most), Some(self.now), self.now);
+        } else if status != Status::NoAnswer {
+            c.unposted += amount;
+        }
+        self.answered(customer, out);
+    }
+}
+
+// ---- Servers and the choice of one -----------------------------------------------------------------
+
+#[derive(Default)]
+struct Server {
+    group: (String, u64), // zone and cell
+    share: f64,
+    started: Micros,
+    health: Health,
+    out: u32,
+    slowness: f64, // latency beside the fleet's usual for the class; 1 is usual
+    errors: f64,
+    judged_at: Micros,
+    credit: (f64, Micros), // sends it may get while cold, as of when
+}
+
+impl Server {
+    // Share of its capacity at least: evenly from the stated start.
+    fn warmth(&self, cold: &ColdStart, now: Micros) -> f64 {
+        let age = now.saturating_sub(self.started) as f64 / cold.warm_us.max(1) as f64;
+        let share = if self.started == 0 || cold.warm_us == 0 { 1.0 } else { age.min(1.0) };
+        cold.from + (1.0 - cold.from) * share
+    }
+
+    /// Slowness and errors now: what is thought of a silent server fades, so that it is tried again.
+    fn thought(&self, now: Micros, forget_us: f64) -> (f64, f64) {
+        let keep = 0.5f64.powf(now.saturating_sub(self.judged_at) as f64 / forget_us);
+        (1.0 + (self.slowness - 1.0) * keep, self.errors * keep)
+    }
+}
+
+impl Gateway {
+    /// One of many gateways meets a server rarely: what it learned must last until it meets it again.
+    fn forget_us(&self) -> f64 {
+        let sends = self.send_rate.per_s(self.now, RATE_TAU_US).max(0.1);
+        FORGET_US.max(FORGET_VISITS * self.servers.len() as f64 / sends * 1e6)
+    }
+
+    fn on_servers(&mut self, kind: ListKind, entries: Vec<ServerEntry>) {
+        if matches!(kind, ListKind::Complete | ListKind::Persisted) {
+            self.servers.values_mut().for_each(|s| s.health = Health::Removed);
+        }
+        for e in entries {
+            let s = self.servers.entry(e.server).or_default();
+            if s.slowness == 0.0 || s.started != e.started_us {
+                // New, or a restarted process: what was known of the old one is void.
+                let credit = (f64::from(self.rng.next_u32()) / f64::from(u32::MAX), self.now);
+                *s = Server { slowness: 1.0, judged_at: self.now, credit, out: s.out, ..Server::default() };
+            }
+            (s.group, s.started, s.health) = ((e.zone, e.cell), e.started_us, e.health);
+            s.share = if e.share.is_finite() && e.share > 0.0 { e.share } else { 1.0 };
+        }
+        self.servers.retain(|_, s| s.health != Health::Removed || s.out > 0);
+    }
+
+    /// Sends left in this gateway's part of a cold server's budget, saved up from a part drawn by chance, so
+    /// that many take turns: what a warm server of its size gets from here, or a share of one core's work.
+    fn cold_room(&self, s: &Server, warmth: f64, total_share: f64) -> f64 {
+        let (cold, sends) = (&self.set.cold, self.send_rate.per_s(self.now, RATE_TAU_US));
+        let core = cold.tip_multiple / self.attempt_s * COLD_SHARE / f64::from(self.set.gateways);
+        let rate = warmth * core.max(sends * s.share / total_share.max(1e-9));
+        let window_s = cold.tip_after_us as f64 / 1e6;
+        let saved = s.credit.0 + rate * self.now.saturating_sub(s.credit.1) as f64 / 1e6;
+        saved.min((rate * window_s / 2.0).max(1.0))
+    }
+
+    /// The cheapest server that the rules allow: least held for its size, times what is thought of it.
+    fn choose(&mut self, id: RequestId) -> Option<(ServerId, f64)> {
+        let (p, now) = (self.requests.get(&id)?, self.now);
+        let total: f64 = self.ready().map(|s| s.share).sum();
+        let forget_us = self.forget_us();
+        let unseen = 1.0 - 2.0 / f64::from(self.set.gateways);
+        let mut best: Option<(bool, f64, &ServerId, f64)> = None;
+        for (name, s) in &self.servers {
+            let warmth = s.warmth(&self.set.cold, now);
+            let room = if warmth < 1.0 { self.cold_room(s, warmth, total) } else { 1.0 };
+            if s.health != Health::Ready || !p.may_send(&self.set, s, now) || room < 1.0 {
+                continue;
+            }
+            let (slowness, errors) = s.thought(now, forget_us);
+            // Chance, more the less is seen from here, keeps many gateways from beginning with one server.
+            let chance = f64::from(self.rng.next_u32()) / f64::from(u32::MAX);
+            let held = f64::from(s.out) + 1.0 - unseen.max(CHOICE_CHANCE) * chance;
+            let zone = if s.group.0 == self.set.zone { 1.0 } else { 1.0 + self.set.cross_zone_cost };
+            let cost =
+                held / (s.share * warmth) * (slowness / CHANCE).max(1.0) * (1.0 + ERROR_COST * errors) * zone;
+            // Tried before by this request: only where nothing else is left.
+            let last_resort = p.attempts.iter().any(|a| a.server == *name);
+            if best.is_none_or(|(l, c, ..)| (last_resort, cost) < (l, c)) {
+                best = Some((last_resort, cost, name, room));
+            }
+        }
+        best.map(|(.., name, room)| (name.clone(), room))
+    }
+}
+
+// ---- Attempts and answers ------------------------------------------------------------------------
+
+struct Attempt {
+    server: ServerId,
+    group: (String, u64),
+    sent: Micros,
+    may_have_run: Option<bool>, // none: still out
+}
+
+#[derive(Default)]
+struct Pending {
+    class: usize,
+    cell: usize,
+    customer: u32,
+    units: f64,
+    draws: f64, // of the quota's store
+    deadline: Micros,
+    attempts: Vec<Attempt>,
+    closed: bool,
+    streaming: bool,
+}
+
+impl Pending {
+    fn out(&self) -> bool {
+        self.attempts.iter().any(|a| a.may_have_run.is_none())
+    }
+
+    /// The effect rule: may a further attempt go to this server now?
+    fn may_send(&self, set: &Settings, s: &Server, now: Micros) -> bool {
+        let over = self.closed || self.streaming || (!set.parallel_attempts && self.out());
+        let mut ran = self.attempts.iter().filter(|a| a.may_have_run != Some(false));
+        !over
+            && match set.classes[self.class].effect {
+                Effect::Repeatable => true,
+                Effect::Once => ran.next().is_none(),
+                Effect::Keyed { scope, window_us } => ran.all(|a| {
+                    let same = match scope {
+                        Scope::All => true,
+                        Scope::Zone => a.group.0 == s.group.0,
+                        Scope::Cell => a.group == s.group,
+                    };
+                    same && now.saturating_sub(a.sent) < window_us
+                }),
+            }
+    }
+
+    fn may_refuse(&self, set: &Settings) -> bool {
+        let effect = set.classes[self.class].effect;
+        let harmless = matches!(effect, Effect::Repeatable | Effect::Keyed { scope: Scope::All, .. });
+        harmless || self.attempts.iter().all(|a| a.may_have_run == Some(false))
+    }
+}
+
+impl Gateway {
+    fn on_request(&mut self, r: Request, out: &mut Vec<Action>) {
+        if self.requests.contains_key(&r.id) {
+            return;
+        }
+        let now = self.now;
+        let class = self.set.classes.iter().position(|c| c.name == r.class);
+        let plan = self.set.plans.iter().position(|p| p.name == r.plan);
+        let never = Action::Refuse { request: r.id, retry_after_us: self.set.max_retry_after_us };
+        let (Some(class), Some(plan)) = (class, plan) else { return out.push(never) };
+        let units = if r.units.is_finite() { r.units.max(0.0) } else { self.set.most_units };
+        let cell = class * self.set.plans.len() + plan;
+        // What it takes of the quota: its units, or one place where only open attempts are capped.
+        let draws = if self.set.plans[plan].rate > 0.0 { units } else { 1.0 };
+        self.cells[cell].arrivals += 1.0;
+        let l = &mut self.latency[class];
+        l.units = if l.units > 0.0 { l.units } else { units };
+        let tag = gossip::tag(&r.customer.0);
+        let width = r.width.clamp(1, self.set.gateways);
+        let keeper = (r.first_gateway % self.set.gateways + tag % width) % self.set.gateways;
+        let Some(c) = self.customer(tag, plan, width, keeper) else { return out.push(never) };
+        c.demand.add(now, RATE_TAU_US, units);
+        c.active_at = now;
+        // Where a late answer is worth nothing the aim ends it: unanswered attempts are no queue.
+        let k = &self.set.classes[class];
+        let useful = if k.late_worth > 0.0 { Micros::MAX } else { k.aim_us };
+        let deadline = now.saturating_add(r.patience_us.min(useful));
+        let p = Pending { class, cell, customer: tag, units, draws, deadline, ..Pending::default() };
+        self.requests.insert(r.id, p);
+        self.decide(r.id, false, out);
+    }
+
+    /// The bucket comes first, then the fraction. `answered`: an ask is over, by its answer or by silence.
+    fn decide(&mut self, id: RequestId, answered: bool, out: &mut Vec<Action>) {
+        let Some(p) = self.requests.get(&id).filter(|p| !p.closed) else { return };
+        let (now, class, customer, units) = (self.now, p.class, p.customer, p.draws);
+        let (fraction, plan) = (self.cells[p.cell].fraction, p.cell % self.set.plans.len());
+        let (q, price) = (self.quotas[plan], &self.set.plans[plan]);
+        // Beyond the quota only what earns more than it costs is passed on, and only with servers at ease.
+        let at_ease = fraction >= 1.0 && self.latency.iter().all(|l| l.mean <= 2.0 * l.lowest);
+        let (excess, cost) = (at_ease && price.excess_worth > price.overrun_cost, price.overrun_cost + 1.0);
+        let Some(c) = self.customers.get_mut(&customer) else { return self.finish(id, 0.0, out) };
+        c.refill(&q, now);
+        let fill = if q.places { 0.0 } else { q.rate * c.part(now) };
+        let wait_us = if fill > 0.0 { (units - c.level).max(0.0) / fill * 1e6 } else { 0.0 };
+        let holds = c.level >= units;
+        let unknown = !q.places && !c.heard(now) && c.thin(&q);
+        let known = if excess { Some(true) } else { c.sure(&q, units, now) };
+        let known = if answered && !excess { Some(holds) } else { known };
+        if known != Some(false) && !answered {
+            let lucky = fraction >= 1.0 || f64::from(self.rng.next_u32()) < fraction * f64::from(u32::MAX);
+            if !lucky || self.crowded(class) {
+                return self.finish(id, self.bound(class), out);
+            }
+            if known.is_none() && self.ask(id, out) {
+                return;
+            }
+        }
+        // Exception to the even slice, for want of a call: what asks found says if passing on blindly pays.
+        let [none, room] = self.odds[plan].map(|n| n.at(now, ODDS_TAU_US));
+        match known.unwrap_or(holds || unknown && none + room >= 1.0 && room > none * cost) {
+            true => self.dispatch(id, out),
+            false => self.finish(id, wait_us, out),
+        }
+    }
+
+    /// Sends the request on if a server may have it; else holds it (first attempt) or answers it.
+    fn dispatch(&mut self, id: RequestId, out: &mut Vec<Action>) {
+        let Some(p) = self.requests.get(&id) else { return };
+        let (now, class, left) = (self.now, p.class, p.deadline.saturating_sub(self.now));
+        let (first, customer, cell) = (p.attempts.is_empty(), p.customer, p.cell);
+        let spent = p.attempts.len() as u32 >= self.set.max_attempts || self.retry_tokens < 1.0;
+        let choice = if first || !spent && left > MARGIN_US { self.choose(id) } else { None };
+        if choice.is_none() && (!first || left <= MARGIN_US) || first && choice.is_some() && !self.draw(id) {
+            return self.finish(id, self.bound(class), out);
+        }
+        let Some((server, room)) = choice else {
+            // Nothing to send to: held until the list changes, answered before its client leaves.
+            let timer = Action::SetTimer { after_us: left - MARGIN_US, timer: Timer::Request(id) };
+            return out.extend(self.waiting.insert(id).then_some(timer));
+        };
+        self.cells[cell].admitted += f64::from(u8::from(first));
+        self.retry_tokens = (self.retry_tokens + if first { RETRY_SHARE } else { -1.0 }).min(RETRY_MOST);
+        self.waiting.remove(&id);
+        self.send_rate.add(now, RATE_TAU_US, 1.0);
+        if let Some(c) = self.customers.get_mut(&customer) {
+            c.place(&self.quotas[c.plan], true, now);
+        }
+        self.post(customer, out);
+        let (Some(s), Some(p)) = (self.servers.get_mut(&server), self.requests.get_mut(&id)) else { return };
+        s.out += 1;
+        s.credit = (room - 1.0, now);
+        let group = s.group.clone();
+        p.attempts.push(Attempt { server: server.clone(), group, sent: now, may_have_run: None });
+        out.push(Action::Send { request: id, server, timeout_us: left });
+    }
+
+    /// The final answer: refused where the effect rule allows it, with a wait, else failed.
+    fn finish(&mut self, id: RequestId, wait_us: f64, out: &mut Vec<Action>) {
+        let Some(p) = self.requests.get(&id).filter(|p| !p.closed) else { return };
+        let wait_us = (wait_us.max(RETRY_AFTER_MIN_US) as Micros).min(self.set.max_retry_after_us);
+        let refuse = Action::Refuse { request: id, retry_after_us: wait_us };
+        out.push(if p.may_refuse(&self.set) { refuse } else { Action::Fail { request: id } });
+        self.close(id, out);
+    }
+
+    /// The request is answered: nothing more is sent for it, and what is still out is called back.
+    fn close(&mut self, id: RequestId, out: &mut Vec<Action>) {
+        self.waiting.remove(&id);
+        let Some(p) = self.requests.get_mut(&id) else { return };
+        let cancel = !p.closed && self.set.cancel && !p.streaming;
+        let still_out = p.attempts.iter().enumerate().filter(|(_, a)| cancel && a.may_have_run.is_none());
+        out.extend(still_out.map(|(n, _)| Action::Cancel { request: id, attempt: n as u32 }));
+        p.closed = true;
+        if !p.out() {
+            self.requests.remove(&id);
+        }
+    }
+
+    fn on_outcome(&mut self, o: Outcome, out: &mut Vec<Action>) {
+        let Some(p) = self.requests.get_mut(&o.request) else { return };
+        let a = p.attempts.get_mut(o.attempt as usize).filter(|a| a.may_have_run.is_none());
+        let Some(a) = a else { return };
+        a.may_have_run = Some(!o.status.never_ran());
+        let (class, server, customer, units) = (p.class, a.server.clone(), p.customer, p.units);
+        self.measure(&o, class, units, &server);
+        if let Some(c) = self.customers.get_mut(&customer) {
+            c.place(&self.quotas[c.plan], false, self.now);
+            let beyond = o.settled_units.filter(|s| s.is_finite()).map_or(0.0, |s| s - units);
+            (c.level, c.unposted) = (c.level - beyond, c.unposted + beyond);
+        }
+        match self.requests.get(&o.request) {
+            Some(p) if o.closed || p.closed => self.close(o.request, out),
+            Some(p) if !p.out() => self.dispatch(o.request, out),
+            _ => {}
+        }
+        self.post(customer, out);
+    }
+
+    fn measure(&mut self, o: &Outcome, class: usize, units: f64, server: &ServerId) {
+        let forget_us = self.forget_us();
+        let (now, Some(s)) = (self.now, self.servers.get_mut(server)) else { return };
+        s.out = s.out.saturating_sub(1);
+        let l = &mut self.latency[class];
+        l.units += 0.02 * (units - l.units);
+        let usual = if l.mean > 0.0 { l.mean * units / l.units } else { o.elapsed_us as f64 };
+        let ratio = o.elapsed_us as f64 / usual.max(1.0);
+        self.done += f64::from(u8::from(matches!(o.status, Status::Served | Status::ServerError)));
+        // Unanswered is slow and failed in one: guards against servers, or a class on them, gone silent.
+        let (slow, failed, weight) = match o.status {
+            Status::Served => (ratio, 0.0, ANSWER_WEIGHT),
+            Status::NoAnswer | Status::CalledOff if ratio > 1.0 => (ratio, 1.0, ANSWER_WEIGHT),
+            Status::NoConnection => (s.slowness, 1.0, UNREACHABLE_WEIGHT),
+            Status::NoAnswer | Status::CalledOff | Status::NotSent => (s.slowness, s.errors, 0.0),
+            _ => (s.slowness, 1.0, ANSWER_WEIGHT),
+        };
+        let (was_slow, errors) = s.thought(now, forget_us);
+        (s.slowness, s.errors) = (was_slow + weight * (slow - was_slow), errors + weight * (failed - errors));
+        s.judged_at = now;
+        if matches!(o.status, Status::Served | Status::NoAnswer) {
+            (l.sum, l.count) = (l.sum + o.elapsed_us as f64, l.count + 1);
+        }
+    }
+
+    fn on_timer(&mut self, timer: Timer, out: &mut Vec<Action>) {
+        match timer {
+            Timer::Interval => {
+                out.extend(self.move_fractions().map(Action::Log));
+                let idle = |c: &Customer| self.now.saturating_sub(c.active_at) >= IDLE_US;
+                self.customers.retain(|_, c| c.open > 0 || !idle(c));
+                self.retry_waiting(out);
+                self.tell_news(out);
+                out.push(Action::SetTimer { after_us: INTERVAL_US, timer });
+            }
+            Timer::Request(id) if self.waiting.contains(&id) => self.finish(id, 0.0, out),
+            Timer::Request(id) => {
+                let Some(p) = self.requests.get(&id) else { return };
+                let (customer, left) = (p.customer, p.deadline.saturating_sub(self.now));
+                let (wanted, c) = (p.draws, self.customers.get_mut(&customer));
+                let Some(c) = c.filter(|c| c.held.contains(&id)) else { return };
+                c.asking += 1;
+                if self.set.counter || c.asking > 2 || left <= 2 * MARGIN_US {
+                    return self.answered(customer, out);
+                }
+                self.send_ask(customer, wanted, out);
+                out.push(Action::SetTimer { after_us: ASK_US.min(left - MARGIN_US), timer });
+            }
+        }
+    }
+
+    fn retry_waiting(&mut self, out: &mut Vec<Action>) {
+        self.waiting.clone().into_iter().for_each(|id| self.dispatch(id, out));
+    }
+
+    /// A gateway with nothing known yet. `seed` is its only source of chance.
+    /// # Errors
+    /// Settings that make no sense; the text says what to correct.
+    pub fn new(set: Settings, seed: u64) -> Result<Self, SettingsError> {
+        set.validate()?;
+        let rng = Pcg64Mcg::seed_from_u64(seed);
+        let cells = vec![Cell { fraction: 1.0, ..Cell::default() }; set.classes.len() * set.plans.len()];
+        let mut g = Gateway {
+            rng,
+            now: 0,
+            heard_rates: vec![Decayed::default(); cells.len()],
+            heard_news: Decayed::default(),
+            odds: vec![Default::default(); set.plans.len()],
+            quotas: Vec::new(),
+            attempt_s: 0.0,
+            calls: Calls { rate: CALLS_START / f64::from(set.gateways), tokens: 1.0, at: 0 },
+            cells,
+            latency: vec![ClassLatency::default(); set.classes.len()],
+            done: 0.0,
+            throughput: 0.0,
+            customers: BTreeMap::new(),
+            counting: BTreeMap::new(),
+            servers: BTreeMap::new(),
+            send_rate: Decayed::default(),
+            requests: BTreeMap::new(),
+            waiting: BTreeSet::new(),
+            retry_tokens: RETRY_MOST,
+            started: None,
+            set,
+        };
+        g.set_quotas();
+        Ok(g)
+    }
+
+    /// Requests not yet done with, attempts still out included.
+    pub fn open_requests(&self) -> usize {
+        self.requests.len()
+    }
+
+    /// Takes one event at clock `now` and appends what to do to `out`.
+    pub fn handle(&mut self, now: Micros, event: Event, out: &mut Vec<Action>) {
+        self.now = self.now.max(now);
+        if self.started.is_none() {
+            self.started = Some(self.now);
+            out.push(Action::SetTimer { after_us: INTERVAL_US, timer: Timer::Interval });
+            out.extend(self.set.list_on_request.then_some(Action::Subscribe));
+        }
+        match event {
+            Event::Servers { kind, entries } => {
+                let ask = kind == ListKind::Error && self.set.list_on_request;
+                out.extend(ask.then_some(Action::Subscribe));
+                self.on_servers(kind, entries);
+                self.retry_waiting(out);
+            }
+            Event::Request(r) => self.on_request(r, out),
+            Event::Streaming(id) => drop(self.requests.get_mut(&id).map(|p| p.streaming = true)),
+            Event::Outcome(o) => self.on_outcome(o, out),
+            Event::ClientGone(id) => self.close(id, out),
+            Event::Timer(t) => self.on_timer(t, out),
+            Event::Peer { from, bytes } => self.hear_peer(from, &bytes, out),
+            Event::Counted { name, status, total } => self.on_counted(&name, status, total, out),
+        }
+    }
+}
--- /dev/null
+++ b/src/decayed.rs
@@ -0,0 +1,29 @@
+//! A sum whose parts lose weight with age; the time constant is the caller's.
+
+use crate::interface::Micros;
+
+#[derive(Clone, Copy, Default)]
+pub(crate) struct Decayed {
+    sum: f64,
+    at: Micros,
+}
+
+impl Decayed {
+    pub fn new(now: Micros, sum: f64) -> Self {
+        Decayed { sum, at: now }
+    }
+
+    /// The sum at `now`, each part weighed by `exp(-age / tau_us)`.
+    pub fn at(&self, now: Micros, tau_us: f64) -> f64 {
+        self.sum * (-(now.saturating_sub(self.at) as f64) / tau_us).exp()
+    }
+
+    pub fn add(&mut self, now: Micros, tau_us: f64, amount: f64) {
+        *self = Decayed::new(now, self.at(now, tau_us) + amount);
+    }
+
+    /// The rate a second that would keep the sum where it is.
+    pub fn per_s(&self, now: Micros, tau_us: f64) -> f64 {
+        self.at(now, tau_us) / (tau_us / 1e6)
+    }
+}
--- /dev/null
+++ b/src/interface.rs
@@ -0,0 +1,518 @@
+//! The public interface: settings a gateway starts with, events it is told, actions it answers with. No decisions.
+
+use std::fmt;
+use std::sync::Arc;
+
+/// A time or a span in whole microseconds.
+pub type Micros = u64;
+
+/// A request's identifier; a client's further try carries a new one.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct RequestId(pub u64);
+
+/// A server's address, the same at every gateway.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct ServerId(pub Arc<str>);
+
+/// A customer's name.
+#[derive(Clone, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct CustomerId(pub Arc<str>);
+
+/// Which servers drop a repeat of a keyed request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Scope {
+    /// Every server.
+    All,
+    /// The servers of one zone.
+    Zone,
+    /// The servers of one cell.
+    Cell,
+}
+
+/// Whether a request may run more than once.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Effect {
+    /// Any number of times.
+    Repeatable,
+    /// Repeats are dropped within `scope` for `window_us` from the first send that may have run.
+    Keyed {
+        /// The servers that share what they have seen.
+        scope: Scope,
+        /// How long they remember, from the send.
+        window_us: Micros,
+    },
+    /// Never: a further attempt needs proof that no earlier one ran.
+    Once,
+}
+
+/// A class of request.
+#[derive(Clone, Debug)]
+pub struct Class {
+    /// Name that requests carry.
+    pub name: String,
+    /// An answer within this earns full worth.
+    pub aim_us: Micros,
+    /// The client's whole patience.
+    pub deadline_us: Micros,
+    /// May it run again.
+    pub effect: Effect,
+    /// Worth of one request before the plan's price and the units.
+    pub worth: f64,
+    /// Share of the worth that an answer between aim and deadline earns.
+    pub late_worth: f64,
+}
+
+/// A hard ceiling: a second store of units that no customer of the plan may overdraw, all gateways together.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Ceiling {
+    /// Units a second at which it fills.
+    pub rate: f64,
+    /// Units that it holds at most.
+    pub depth: f64,
+}
+
+/// A plan and its quota for each customer over all gateways.
+#[derive(Clone, Debug)]
+pub struct Plan {
+    /// Name that requests carry.
+    pub name: String,
+    /// Units a second; 0: no quota on the rate.
+    pub rate: f64,
+    /// Units that the store holds.
+    pub burst: f64,
+    /// Attempts out at once; 0: no such quota.
+    pub max_open: u32,
+    /// Multiplier on worth.
+    pub price: f64,
+    /// Share of its worth that a request passed on beyond the quota earns.
+    pub excess_worth: f64,
+    /// Share of its worth that passing on beyond the quota costs.
+    pub overrun_cost: f64,
+    /// Hard ceiling, if any.
+    pub ceiling: Option<Ceiling>,
+}
+
+/// How a server that has just started warms, and what pushes it over.
+#[derive(Clone, Copy, Debug)]
+pub struct ColdStart {
+    /// Share of its capacity at the start, at least.
+    pub from: f64,
+    /// Warm after this, at the latest.
+    pub warm_us: Micros,
+    /// It falls when sent more than this multiple of what it can do...
+    pub tip_multiple: f64,
+    /// ...for this long.
+    pub tip_after_us: Micros,
+}
+
+/// What a figure in a load report means.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Load {
+    /// Requests that the server holds.
+    Inflight,
+    /// Requests that wait at the server.
+    Queue,
+    /// Recent service time in milliseconds, without waiting.
+    ServiceMs,
+}
+
+/// Everything a gateway knows at its start.
+#[derive(Clone, Debug)]
+pub struct Settings {
+    /// Number of gateways.
+    pub gateways: u32,
+    /// This gateway's index.
+    pub me: u32,
+    /// This gateway's zone.
+    pub zone: String,
+    /// Request classes.
+    pub classes: Vec<Class>,
+    /// Customer plans.
+    pub plans: Vec<Plan>,
+    /// Cold servers.
+    pub cold: ColdStart,
+    /// Attempts allowed for a request.
+    pub max_attempts: u32,
+    /// May two attempts of one request be out at once.
+    pub parallel_attempts: bool,
+    /// May an attempt be withdrawn.
+    pub cancel: bool,
+    /// Longest retry-after that a client keeps to; 0: none is passed on.
+    pub max_retry_after_us: Micros,
+    /// May gateways message each other.
+    pub peer_messages: bool,
+    /// Messages a second that a gateway takes in.
+    pub mail_per_s: f64,
+    /// Is there a shared counter.
+    pub counter: bool,
+    /// Period of the usage meter; 0: none.
+    pub meter_period_us: Micros,
+    /// Is the server list only told on request.
+    pub list_on_request: bool,
+    /// Points lost for an attempt into another zone, as a share of a request's worth.
+    pub cross_zone_cost: f64,
+    /// Most units of one request.
+    pub most_units: f64,
+}
+
+impl Settings {
+    /// Settings that make no sense are told with what to correct.
+    pub(crate) fn validate(&self) -> Result<(), SettingsError> {
+        let bad = |what: &str| Err(SettingsError(what.into()));
+        let fine = |v: f64| v.is_finite() && v >= 0.0;
+        if self.classes.is_empty() || self.plans.is_empty() {
+            return bad("give at least one class and one plan");
+        }
+        if self.gateways == 0 || self.me >= self.gateways {
+            return bad("`gateways` must be at least 1 and `me` below it");
+        }
+        if !self.classes.iter().all(|c| fine(c.worth) && fine(c.late_worth) && c.aim_us > 0) {
+            return bad("a class needs a positive aim and finite, non-negative worths");
+        }
+        let plan_fine = |p: &Plan| {
+            let ceiling = p.ceiling.is_none_or(|c| fine(c.rate) && fine(c.depth));
+            ceiling && [p.rate, p.burst, p.price, p.excess_worth, p.overrun_cost].into_iter().all(fine)
+        };
+        if !self.plans.iter().all(plan_fine) {
+            return bad(
+                "a plan's rate, burst, price, worth, cost and ceiling must be finite and not negative",
+            );
+        }
+        let cold = [self.cold.from, self.cold.tip_multiple];
+        if !cold.into_iter().chain([self.mail_per_s, self.cross_zone_cost, self.most_units]).all(fine) {
+            return bad("cold start, mail, zone cost and units must be finite and not negative");
+        }
+        Ok(())
+    }
+
+    /// A small valid configuration, for trials: one gateway, one repeatable class `read`, one plan `basic`.
+    pub fn example() -> Self {
+        Settings {
+            gateways: 1,
+            me: 0,
+            zone: "a".into(),
+            classes: vec![Class {
+                name: "read".into(),
+                aim_us: 1_000_000,
+                deadline_us: 4_000_000,
+                effect: Effect::Repeatable,
+                worth: 1.0,
+                late_worth: 0.0,
+            }],
+            plans: vec![Plan {
+                name: "basic".into(),
+                rate: 10.0,
+                burst: 20.0,
+                max_open: 0,
+                price: 1.0,
+                excess_worth: 0.0,
+                overrun_cost: 1.0,
+                ceiling: None,
+            }],
+            cold: ColdStart { from: 0.2, warm_us: 20_000_000, tip_multiple: 3.0, tip_after_us: 2_000_000 },
+            max_attempts: 3,
+            parallel_attempts: true,
+            cancel: true,
+            max_retry_after_us: 2_000_000,
+            peer_messages: false,
+            mail_per_s: 0.0,
+            counter: false,
+            meter_period_us: 0,
+            list_on_request: false,
+            cross_zone_cost: 0.0,
+            most_units: 1.0,
+        }
+    }
+}
+
+/// Why settings were not accepted; the text says what to correct.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct SettingsError(pub String);
+
+impl fmt::Display for SettingsError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "settings not usable: {}", self.0)
+    }
+}
+
+impl std::error::Error for SettingsError {}
+
+/// How a server list is to be read.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ListKind {
+    /// Changed entries only.
+    Partial,
+    /// The whole list.
+    Complete,
+    /// The whole list as last held before a start, perhaps stale.
+    Persisted,
+    /// A call to discovery failed; nothing is told.
+    Error,
+}
+
+/// A server's state in the list.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Health {
+    /// Takes requests.
+    #[default]
+    Ready,
+    /// Finishes what it has; nothing new may go there.
+    Draining,
+    /// Gone.
+    Removed,
+}
+
+/// One server in the list.
+#[derive(Clone, Debug)]
+pub struct ServerEntry {
+    /// Its address.
+    pub server: ServerId,
+    /// Its zone.
+    pub zone: String,
+    /// Its cell: the servers that share which keys they have seen.
+    pub cell: u64,
+    /// Its size beside the others'.
+    pub share: f64,
+    /// When it last started; 0: long ago.
+    pub started_us: Micros,
+    /// Its state.
+    pub health: Health,
+}
+
+impl ServerEntry {
+    /// A ready server of unit size that started long ago.
+    pub fn ready(server: &str, zone: &str) -> Self {
+        ServerEntry {
+            server: ServerId(server.into()),
+            zone: zone.into(),
+            cell: 0,
+            share: 1.0,
+            started_us: 0,
+            health: Health::Ready,
+        }
+    }
+}
+
+/// A client request.
+#[derive(Clone, Debug)]
+pub struct Request {
+    /// Its identifier.
+    pub id: RequestId,
+    /// Whose it is.
+    pub customer: CustomerId,
+    /// The customer's plan.
+    pub plan: String,
+    /// The request's class.
+    pub class: String,
+    /// Units that it draws.
+    pub units: f64,
+    /// Gateways that the customer uses.
+    pub width: u32,
+    /// Index of the first of them; the others follow, counted round.
+    pub first_gateway: u32,
+    /// Time until the client gives this try up.
+    pub patience_us: Micros,
+}
+
+impl Request {
+    /// A request of one unit whose customer uses one gateway.
+    pub fn new(id: u64, customer: &str, plan: &str, class: &str, patience_us: Micros) -> Self {
+        Request {
+            id: RequestId(id),
+            customer: CustomerId(customer.into()),
+            plan: plan.into(),
+            class: class.into(),
+            units: 1.0,
+            width: 1,
+            first_gateway: 0,
+            patience_us,
+        }
+    }
+}
+
+/// How an attempt, or a call to the counter, ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Status {
+    /// Done.
+    Served,
+    /// The server answered with an error; it may have run.
+    ServerError,
+    /// Turned away unseen; it never ran.
+    TurnedAway,
+    /// No answer in time; it may have run.
+    NoAnswer,
+    /// No connection; it never ran.
+    NoConnection,
+    /// The connection broke; it may have run.
+    ConnectionLost,
+    /// Withdrawn; it may have run.
+    CalledOff,
+    /// Not sent at all.
+    NotSent,
+}
+
+impl Status {
+    /// Whether this end proves that the attempt never ran.
+    pub fn never_ran(self) -> bool {
+        matches!(self, Status::TurnedAway | Status::NoConnection | Status::NotSent)
+    }
+}
+
+/// The end of one attempt.
+#[derive(Clone, Debug)]
+pub struct Outcome {
+    /// The request.
+    pub request: RequestId,
+    /// Number of the attempt, from 0.
+    pub attempt: u32,
+    /// The server.
+    pub server: ServerId,
+    /// How it ended.
+    pub status: Status,
+    /// Time since the send.
+    pub elapsed_us: Micros,
+    /// Set once the client has its final answer.
+    pub closed: bool,
+    /// Units that replace the guess, where units are settled afterwards.
+    pub settled_units: Option<f64>,
+    /// The customer's use over all gateways in the meter's last period, as a share of its rate or open limit.
+    pub metered_use: Option<f64>,
+    /// The server's load report.
+    pub report: Vec<(Load, f64)>,
+}
+
+impl Outcome {
+    /// An outcome that carries nothing besides its end and leaves the request open.
+    pub fn new(
+        request: RequestId,
+        attempt: u32,
+        server: ServerId,
+        status: Status,
+        elapsed_us: Micros,
+    ) -> Self {
+        Outcome {
+            request,
+            attempt,
+            server,
+            status,
+            elapsed_us,
+            closed: false,
+            settled_units: None,
+            metered_use: None,
+            report: Vec::new(),
+        }
+    }
+
+    /// The same outcome, with the request closed by it.
+    pub fn closing(mut self) -> Self {
+        self.closed = true;
+        self
+    }
+}
+
+/// A timer that the gateway asked for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Timer {
+    /// The control interval.
+    Interval,
+    /// A request's own.
+    Request(RequestId),
+}
+
+/// What a gateway is told.
+#[derive(Clone, Debug)]
+pub enum Event {
+    /// News of the server list.
+    Servers {
+        /// How to read it.
+        kind: ListKind,
+        /// The entries.
+        entries: Vec<ServerEntry>,
+    },
+    /// A client request.
+    Request(Request),
+    /// A streamed answer has begun: the attempt is the client's now.
+    Streaming(RequestId),
+    /// An attempt ended.
+    Outcome(Outcome),
+    /// The client has gone.
+    ClientGone(RequestId),
+    /// A timer fell due.
+    Timer(Timer),
+    /// A message from a peer.
+    Peer {
+        /// Its index.
+        from: u32,
+        /// What it sent.
+        bytes: Vec<u8>,
+    },
+    /// The counter answered a call.
+    Counted {
+        /// The name counted.
+        name: String,
+        /// How the call ended.
+        status: Status,
+        /// The total after the call, if served.
+        total: f64,
+    },
+}
+
+/// What a gateway does.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Action {
+    /// Start an attempt.
+    Send {
+        /// The request.
+        request: RequestId,
+        /// Where to.
+        server: ServerId,
+        /// Its time-out; 0: until the client gives up.
+        timeout_us: Micros,
+    },
+    /// Stop waiting for an attempt.
+    Cancel {
+        /// The request.
+        request: RequestId,
+        /// The attempt's number.
+        attempt: u32,
+    },
+    /// Final answer: refused; trying again is harmless.
+    Refuse {
+        /// The request.
+        request: RequestId,
+        /// How long to stay away; 0: no advice.
+        retry_after_us: Micros,
+    },
+    /// Final answer: failed, with no promise.
+    Fail {
+        /// The request.
+        request: RequestId,
+    },
+    /// Wake the gateway.
+    SetTimer {
+        /// After this.
+        after_us: Micros,
+        /// With this.
+        timer: Timer,
+    },
+    /// Send a message to another gateway.
+    Tell {
+        /// Its number.
+        to: u32,
+        /// At most 256 bytes.
+        bytes: Vec<u8>,
+    },
+    /// Add to a named count.
+    Count {
+        /// The name.
+        name: String,
+        /// The amount.
+        amount: f64,
+        /// How long the name lives, if new.
+        ttl_us: Micros,
+    },
+    /// Subscribe to the server list.
+    Subscribe,
+    /// A line for the on-call log.
+    Log(String),
+}
--- /dev/null
+++ b/src/lib.rs
@@ -0,0 +1,41 @@
+//! Decisions of a front door that meters many customers' use of one shared service.
+//!
+//! One [`Gateway`] value is one gateway. It is told what happens as [`Event`]s, each with the clock, and answers with
+//! [`Action`]s: send this request there, refuse that one, wake me later. It does no I/O, reads no clock and shares
+//! nothing, so the same events always yield the same actions.
+//!
+//! The ordinary path follows Lin, Ghosh and Das, "Wireless Networks Revenue Optimization through Overload Control
+//! with Priority Services": an admit fraction for each class and plan steps down while latency exceeds its aim and
+//! otherwise moves halfway to targets that maximise worth; per-customer token buckets hold the quotas.
+//!
+//! ```
+//! use turndeck::{Action, Event, Gateway, ListKind, Outcome, Request, ServerEntry, Settings, Status};
+//!
+//! let settings = Settings::example();
+//! let mut gateway = Gateway::new(settings, 7)?;
+//! let mut actions = Vec::new();
+//! let entry = ServerEntry::ready("10.0.0.1:80", "a");
+//! gateway.handle(1_000, Event::Servers { kind: ListKind::Complete, entries: vec![entry] }, &mut actions);
+//!
+//! let request = Request::new(1, "customer-1", "basic", "read", 1_000_000);
+//! actions.clear();
+//! gateway.handle(2_000, Event::Request(request), &mut actions);
+//! let Some(Action::Send { request, server, .. }) = actions.iter().find(|a| matches!(a, Action::Send { .. })) else {
+//!     panic!("an idle fleet serves a request inside its quota");
+//! };
+//!
+//! let outcome = Outcome::new(*request, 0, server.clone(), Status::Served, 20_000).closing();
+//! gateway.handle(22_000, Event::Outcome(outcome), &mut actions);
+//! assert_eq!(gateway.open_requests(), 0);
+//! # Ok::<(), turndeck::SettingsError>(())
+//! ```
+#![forbid(unsafe_code)]
+#![warn(missing_docs)]
+
+mod control;
+mod decayed;
+mod gossip;
+mod interface;
+
+pub use control::Gateway;
+pub use interface::*;
--- /dev/null
+++ b/tests/common/mod.rs
@@ -0,0 +1,116 @@
+//! A gateway on a bench of its own: events in, actions out, nothing else.
+#![allow(dead_code)]
+
+use turndeck::*;
+
+pub struct Rig {
+    pub gateway: Gateway,
+    pub now: Micros,
+    next: u64,
+}
+
+impl Rig {
+    pub fn new(settings: Settings) -> Self {
+        Rig::seeded(settings, 1)
+    }
+
+    pub fn seeded(settings: Settings, seed: u64) -> Self {
+        Rig { gateway: Gateway::new(settings, seed).expect("settings"), now: 1_000_000_000, next: 1 }
+    }
+
+    /// A rig whose list holds `n` ready servers, all started long ago.
+    pub fn with_servers(settings: Settings, n: usize) -> Self {
+        Rig::new(settings).listing(n)
+    }
+
+    pub fn listing(mut self, n: usize) -> Self {
+        let entries = (0..n).map(|i| ServerEntry::ready(&format!("s{i}"), "a")).collect();
+        self.list(ListKind::Complete, entries);
+        self
+    }
+
+    pub fn tell(&mut self, event: Event) -> Vec<Action> {
+        let mut out = Vec::new();
+        self.gateway.handle(self.now, event, &mut out);
+        out
+    }
+
+    pub fn list(&mut self, kind: ListKind, entries: Vec<ServerEntry>) -> Vec<Action> {
+        self.tell(Event::Servers { kind, entries })
+    }
+
+    pub fn request(&mut self, customer: &str) -> (RequestId, Vec<Action>) {
+        self.ask(|r| r.customer = CustomerId(customer.into()))
+    }
+
+    pub fn ask(&mut self, change: impl FnOnce(&mut Request)) -> (RequestId, Vec<Action>) {
+        let mut r = Request::new(self.next, "c", "basic", "read", 4_000_000);
+        self.next += 1;
+        change(&mut r);
+        let id = r.id;
+        (id, self.tell(Event::Request(r)))
+    }
+
+    pub fn outcome(
+        &mut self,
+        id: RequestId,
+        attempt: u32,
+        server: &ServerId,
+        status: Status,
+        after: Micros,
+    ) -> Vec<Action> {
+        self.now += after;
+        let mut o = Outcome::new(id, attempt, server.clone(), status, after);
+        o.closed = status == Status::Served;
+        self.tell(Event::Outcome(o))
+    }
+
+    /// Lets `us` pass and the interval timer fire.
+    pub fn interval(&mut self) -> Vec<Action> {
+        self.now += 1_000_000;
+        self.tell(Event::Timer(Timer::Interval))
+    }
+}
+
+pub fn sent(actions: &[Action]) -> Option<ServerId> {
+    actions.iter().find_map(|a| match a {
+        Action::Send { server, .. } => Some(server.clone()),
+        _ => None,
+    })
+}
+
+/// How many of `tries` requests are passed on while a counter that stands at `total` answers at once.
+pub fn passed_by_counter(rig: &mut Rig, width: u32, tries: usize, total: &mut f64) -> usize {
+    let mut n = 0;
+    for _ in 0..tries {
+        let (id, mut actions) = rig.ask(|r| r.width = width);
+        let mut k = 0;
+        while k < actions.len() {
+            if let Action::Count { name, amount, .. } = actions[k].clone() {
+                *total += amount;
+                actions.extend(rig.tell(Event::Counted { name, status: Status::Served, total: *total }));
+            }
+            k += 1;
+        }
+        if let Some(server) = sent(&actions) {
+            n += 1;
+            rig.outcome(id, 0, &server, Status::Served, 0);
+        }
+    }
+    n
+}
+
+pub fn refused(actions: &[Action]) -> bool {
+    actions.iter().any(|a| matches!(a, Action::Refuse { .. }))
+}
+
+pub fn failed(actions: &[Action]) -> bool {
+    actions.iter().any(|a| matches!(a, Action::Fail { .. }))
+}
+
+/// Settings with two gateways and generous quotas.
+pub fn wide() -> Settings {
+    let mut s = Settings::example();
+    (s.plans[0].rate, s.plans[0].burst) = (1e6, 1e6);
+    s
+}
--- /dev/null
+++ b/tests/fleet.rs
@@ -0,0 +1,184 @@
+//! Many gateways: what all of them together do where each one's part is under one request.
+
+mod common;
+use common::*;
+use turndeck::*;
+
+fn fleet(gateways: u32, change: impl Fn(&mut Settings)) -> Vec<Rig> {
+    let one = |me| {
+        let mut settings = Settings::example();
+        (settings.gateways, settings.me, settings.mail_per_s) = (gateways, me, 100.0);
+        change(&mut settings);
+        Rig::seeded(settings, u64::from(me) + 1).listing(4)
+    };
+    (0..gateways).map(one).collect()
+}
+
+/// Delivers what gateway `from` tells to the others, and what they tell in turn; returns the sends of `from`.
+fn deliver(rigs: &mut [Rig], from: usize, actions: Vec<Action>) -> usize {
+    let (mut sends, mut queue) = (0, vec![(from, actions)]);
+    while let Some((from_now, actions)) = queue.pop() {
+        for a in actions {
+            match a {
+                Action::Send { .. } if from_now == from => sends += 1,
+                Action::Tell { to, bytes } => {
+                    let answer = rigs[to as usize].tell(Event::Peer { from: from_now as u32, bytes });
+                    queue.push((to as usize, answer));
+                }
+                _ => {}
+            }
+        }
+    }
+    sends
+}
+
+#[test]
+fn gateways_that_share_a_keeper_pass_the_quota_and_no_more() {
+    for gateways in [3, 150, 600] {
+        let mut rigs = fleet(gateways, |s| s.peer_messages = true);
+        // Long enough for the keeper to have saved up the burst of 20: its start counts as a restart.
+        rigs.iter_mut().for_each(|r| r.now += 10_000_000);
+        let mut passed = 0;
+        for g in 0..rigs.len().min(150) {
+            for _ in 0..(150 / rigs.len()).max(1) {
+                let (_, actions) = rigs[g].ask(|r| r.width = gateways);
+                passed += deliver(&mut rigs, g, actions);
+            }
+        }
+        assert!((19..=21).contains(&passed), "{passed} of a burst of 20 with {gateways} gateways");
+    }
+}
+
+#[test]
+fn unheard_a_slice_under_one_request_is_served_on_the_mean_and_a_restart_mints_nothing() {
+    for gateways in [150, 600] {
+        let slice_s = f64::from(gateways) / 10.0;
+        let mut rig = fleet(gateways, |_| ()).remove(0);
+        let passed = |rig: &mut Rig| sent(&rig.ask(|r| r.width = gateways).1).is_some();
+        assert!(!passed(&mut rig), "a fresh start owns a fraction of a request");
+        rig.now += (slice_s * 1e6) as Micros;
+        let n = (0..5).filter(|_| passed(&mut rig)).count();
+        assert_eq!(n, 1, "one request is saved up in the time that the slice takes for it, and no more");
+    }
+}
+
+#[test]
+fn many_gateways_together_stay_inside_a_cold_servers_budget() {
+    for gateways in [3, 150, 600] {
+        let mut rigs = fleet(gateways, |s| (s.plans[0].rate, s.plans[0].burst) = (1e6, 1e6));
+        let mut to_cold = 0;
+        for rig in &mut rigs {
+            // It is all there is: every request wants it.
+            let cold = ServerEntry { started_us: rig.now, ..ServerEntry::ready("cold", "a") };
+            rig.list(ListKind::Complete, vec![cold]);
+            // The rule's window of two seconds, 600 requests a second for the fleet.
+            for _ in 0..1200 / gateways {
+                let (id, actions) = rig.request("c");
+                if let Some(server) = sent(&actions) {
+                    to_cold += 1;
+                    rig.outcome(id, 0, &server, Status::Served, 0);
+                }
+                rig.now += 2_000_000 / u64::from(1200 / gateways);
+            }
+        }
+        // A core that takes 125 ms for an attempt does 16 in two seconds, three times a fifth of it is ten.
+        assert!((1..=20).contains(&to_cold), "{to_cold} to a cold server by {gateways} gateways");
+    }
+}
+
+#[test]
+fn a_place_whose_return_is_lost_is_given_out_again() {
+    let capped = |s: &mut Settings| {
+        s.peer_messages = true;
+        (s.plans[0].rate, s.plans[0].burst, s.plans[0].max_open) = (0.0, 0.0, 3);
+    };
+    let mut rigs = fleet(150, capped);
+    let pass = |rigs: &mut Vec<Rig>, g: usize| {
+        let (_, actions) = rigs[g].ask(|r| r.width = 150);
+        deliver(rigs, g, actions)
+    };
+    // Each gateway sends one and is never heard of again.
+    assert_eq!((1..20).map(|g| pass(&mut rigs, g)).sum::<usize>(), 3, "the cap holds over all gateways");
+    rigs.iter_mut().for_each(|r| r.now += 2_000_000);
+    assert_eq!((20..40).map(|g| pass(&mut rigs, g)).sum::<usize>(), 3, "and its places come back");
+}
+
+#[test]
+fn a_request_is_not_held_for_a_silent_keeper_or_counter() {
+    for counter in [false, true] {
+        let mut rig = fleet(150, |s| (s.counter, s.peer_messages) = (counter, !counter)).remove(0);
+        let (id, actions) = rig.ask(|r| r.width = 150);
+        assert!(sent(&actions).is_none() && !refused(&actions), "it waits for an answer");
+        let mut waits = 0;
+        let mut last = Vec::new();
+        while !refused(&last) && sent(&last).is_none() && waits < 5 {
+            rig.now += 100_000;
+            last = rig.tell(Event::Timer(Timer::Request(id)));
+            waits += 1;
+        }
+        assert!(waits <= 2, "answered after {waits} waits");
+        // A client about to leave cannot wait at all.
+        let (_, actions) = rig.ask(|r| (r.width, r.patience_us) = (150, 60_000));
+        assert!(refused(&actions) || sent(&actions).is_some());
+    }
+}
+
+#[test]
+fn calls_back_off_while_the_counter_is_silent() {
+    let mut rig = fleet(150, |s| s.counter = true).remove(0);
+    let mut calls = [0, 0];
+    for k in 0..400 {
+        let (_, actions) = rig.ask(|r| (r.width, r.customer) = (150, CustomerId(format!("c{k}").into())));
+        rig.now += 50_000;
+        for a in actions {
+            if let Action::Count { name, .. } = a {
+                calls[k / 200] += 1;
+                rig.tell(Event::Counted { name, status: Status::NoAnswer, total: 0.0 });
+            }
+        }
+    }
+    assert!(calls[0] >= 5 && calls[1] * 2 < calls[0], "{calls:?} in each ten seconds");
+}
+
+#[test]
+fn a_silent_server_loses_its_share() {
+    let mut settings = wide();
+    settings.gateways = 150;
+    let mut rig = Rig::with_servers(settings, 4);
+    let (mut silent, mut all) = (0, 0);
+    for _ in 0..400 {
+        let (id, actions) = rig.request("c");
+        let Some(server) = sent(&actions) else { continue };
+        all += 1;
+        let dead = &*server.0 == "s0";
+        silent += u32::from(dead);
+        let (status, after) = if dead { (Status::NoAnswer, 1_000_000) } else { (Status::Served, 100_000) };
+        rig.outcome(id, 0, &server, status, after);
+        rig.now += 200_000;
+        if all % 5 == 0 {
+            rig.tell(Event::Timer(Timer::Interval));
+        }
+    }
+    assert!(silent * 8 < all, "{silent} of {all} went to the silent server");
+}
+
+#[test]
+fn who_makes_a_count_makes_up_for_what_filled_in_before_it() {
+    // Guards against a second burst for who was idle, and against all gateways making up for it at once.
+    let added = |name_made_before: f64| {
+        let mut rig = fleet(150, |s| s.counter = true).remove(0);
+        rig.now = 1_230_000_000;
+        let (_, actions) = rig.ask(|r| r.width = 150);
+        let Some(Action::Count { name, amount, .. }) =
+            actions.into_iter().find(|a| matches!(a, Action::Count { .. }))
+        else {
+            panic!("it asks the counter")
+        };
+        let total = amount + name_made_before;
+        let next = rig.tell(Event::Counted { name, status: Status::Served, total });
+        next.iter().map(|a| if let Action::Count { amount, .. } = a { *amount } else { 0.0 }).sum::<f64>()
+    };
+    // Half a minute at ten a second filled in since the count's minute began.
+    assert!((added(0.0) - 300.0).abs() < 2.0);
+    assert_eq!(added(300.0), 0.0, "a count in step is left alone");
+}
--- /dev/null
+++ b/tests/mechanism.rs
@@ -0,0 +1,236 @@
+//! Admit fractions, buckets, and bad input, at the interface.
+
+mod common;
+use common::*;
+use turndeck::*;
+
+/// Serves `n` requests with the given latency, one after another; returns how many were passed on.
+fn run(rig: &mut Rig, n: usize, latency: Micros) -> usize {
+    let mut passed = 0;
+    for _ in 0..n {
+        let (id, actions) = rig.request("c");
+        if let Some(server) = sent(&actions) {
+            passed += 1;
+            rig.outcome(id, 0, &server, Status::Served, latency);
+            rig.now -= latency;
+        }
+    }
+    passed
+}
+
+#[test]
+fn fractions_step_down_while_latency_is_over_its_bound_and_come_back_halfway() {
+    let mut rig = Rig::with_servers(wide(), 4);
+    run(&mut rig, 20, 100_000);
+    rig.interval();
+    for _ in 0..3 {
+        run(&mut rig, 200, 900_000);
+        rig.interval();
+    }
+    let low = run(&mut rig, 1000, 100_000);
+    assert!((600..800).contains(&low), "three steps down: {low} of 1000");
+    rig.interval();
+    let back = run(&mut rig, 1000, 100_000);
+    assert!((850..950).contains(&back), "halfway back, on the grid: {back} of 1000");
+}
+
+#[test]
+fn recovery_from_nought_needs_no_measurement() {
+    let mut rig = Rig::with_servers(wide(), 4);
+    for _ in 0..40 {
+        run(&mut rig, 1000, 900_000);
+        rig.interval();
+    }
+    for _ in 0..6 {
+        rig.interval();
+    }
+    assert_eq!(run(&mut rig, 100, 100_000), 100);
+}
+
+#[test]
+fn unheard_a_bucket_holds_the_even_slice_and_refuses_early_with_advice() {
+    let mut settings = Settings::example();
+    settings.gateways = 2;
+    let mut rig = Rig::with_servers(settings, 4);
+    let mut passed = 0;
+    for _ in 0..30 {
+        let (id, actions) = rig.ask(|r| r.width = 2);
+        match sent(&actions) {
+            Some(server) => {
+                passed += 1;
+                rig.outcome(id, 0, &server, Status::Served, 0);
+            }
+            None => {
+                let advised =
+                    |a: &Action| matches!(a, Action::Refuse { retry_after_us, .. } if *retry_after_us > 0);
+                assert!(actions.iter().any(advised));
+            }
+        }
+    }
+    assert_eq!(passed, 10, "half of a burst of 20");
+}
+
+#[test]
+fn the_others_use_told_by_the_counter_is_drawn_and_what_they_left_comes_here() {
+    let mut settings = Settings::example();
+    (settings.gateways, settings.counter) = (2, true);
+    // As much of the minute's fill is gone as the others used: the store stands at 20 less their use.
+    let pass = |others: f64| {
+        let mut rig = Rig::with_servers(settings.clone(), 4);
+        rig.now = 1_200_000_000;
+        passed_by_counter(&mut rig, 2, 40, &mut { others })
+    };
+    assert_eq!((pass(0.0), pass(15.0)), (20, 5));
+}
+
+#[test]
+fn one_of_many_gateways_that_sees_a_customer_for_the_first_time_asks_the_counter() {
+    for gateways in [150, 600] {
+        let mut settings = Settings::example();
+        (settings.gateways, settings.counter) = (gateways, true);
+        let mut total = 0.0;
+        let gateway = |_| {
+            let mut rig = Rig::with_servers(settings.clone(), 4);
+            rig.now = 1_200_000_000;
+            passed_by_counter(&mut rig, gateways, 1, &mut total)
+        };
+        // Each sees one request, and has a slice of a fraction of one: together they pass the burst.
+        assert_eq!((0..150).map(gateway).sum::<usize>(), 20);
+    }
+}
+
+#[test]
+fn a_counter_back_at_nought_or_silent_mints_nothing() {
+    let mut settings = Settings::example();
+    (settings.gateways, settings.counter) = (2, true);
+    let mut rig = Rig::with_servers(settings, 4);
+    let mut n = 0;
+    for k in 0..60 {
+        let (id, actions) = rig.ask(|r| r.width = 2);
+        for a in &actions {
+            if let Action::Count { name, amount, .. } = a {
+                let status = if k % 3 == 0 { Status::NoAnswer } else { Status::Served };
+                rig.tell(Event::Counted { name: name.clone(), status, total: *amount });
+            }
+        }
+        if let Some(server) = sent(&actions) {
+            n += 1;
+            rig.outcome(id, 0, &server, Status::Served, 0);
+        }
+    }
+    assert!(n <= 20, "{n} passed of a burst of 20");
+}
+
+#[test]
+fn attempts_out_at_once_are_capped() {
+    let mut settings = wide();
+    (settings.plans[0].rate, settings.plans[0].burst, settings.plans[0].max_open) = (0.0, 0.0, 3);
+    let mut rig = Rig::with_servers(settings, 4);
+    let n = (0..10).filter(|_| sent(&rig.request("c").1).is_some()).count();
+    assert_eq!(n, 3);
+}
+
+#[test]
+fn a_cap_on_open_attempts_is_not_rounded_up_by_every_gateway_that_hears_nothing() {
+    let mut settings = wide();
+    settings.gateways = 9;
+    (settings.plans[0].rate, settings.plans[0].burst, settings.plans[0].max_open) = (0.0, 0.0, 3);
+    let mut rig = Rig::with_servers(settings, 4);
+    let passed = |rig: &mut Rig| !refused(&rig.ask(|r| r.width = 9).1);
+    assert!(!passed(&mut rig), "a third of a place is none at the start");
+    rig.now += 5_000_000;
+    assert!(passed(&mut rig), "saved up to one place");
+    assert!(!passed(&mut rig), "and no more");
+}
+
+#[test]
+fn what_cannot_be_timely_is_refused_at_once() {
+    let mut rig = Rig::with_servers(wide(), 2);
+    for _ in 0..20 {
+        let (id, actions) = rig.request("c");
+        rig.outcome(id, 0, &sent(&actions).expect("sent"), Status::Served, 50_000);
+    }
+    rig.now -= 1_000_000;
+    rig.interval();
+    // 20 a second were served: 100 at once would take five seconds.
+    let n = (0..100).filter(|_| sent(&rig.request("c").1).is_some()).count();
+    assert!((5..20).contains(&n), "{n} passed");
+}
+
+#[test]
+fn a_server_that_fails_fast_is_not_taken_for_an_idle_one() {
+    let mut rig = Rig::with_servers(wide(), 4);
+    let (mut bad, mut all) = (0, 0);
+    for _ in 0..200 {
+        let (id, actions) = rig.request("c");
+        let Some(server) = sent(&actions) else { continue };
+        all += 1;
+        let failing = &*server.0 == "s0";
+        bad += u32::from(failing);
+        let actions =
+            rig.outcome(id, 0, &server, if failing { Status::ServerError } else { Status::Served }, 1_000);
+        if let Some(second) = sent(&actions) {
+            assert_ne!(second, server);
+            rig.outcome(id, 1, &second, Status::Served, 20_000);
+        }
+    }
+    assert!(bad * 10 < all, "{bad} of {all} went to the failing server");
+}
+
+#[test]
+fn one_of_many_gateways_does_not_always_begin_with_the_largest_server() {
+    let mut settings = wide();
+    settings.gateways = 12;
+    let mut rig = Rig::new(settings);
+    let sized =
+        |i: usize| ServerEntry { share: 1.0 + i as f64 / 5.0, ..ServerEntry::ready(&format!("s{i}"), "a") };
+    rig.list(ListKind::Complete, (0..4).map(sized).collect());
+    let mut least = 0;
+    for _ in 0..200 {
+        let (id, actions) = rig.request("c");
+        let server = sent(&actions).expect("sent");
+        least += u32::from(&*server.0 == "s0");
+        rig.outcome(id, 0, &server, Status::Served, 1_000);
+    }
+    assert!(least >= 8, "the smallest of four idle servers got {least} of 200");
+}
+
+#[test]
+fn unknown_names_get_one_answer_and_strangers_change_nothing() {
+    let mut rig = Rig::with_servers(wide(), 2);
+    for change in [|r: &mut Request| r.plan = "?".into(), |r: &mut Request| r.class = "?".into()] {
+        let (_, actions) = rig.ask(change);
+        assert_eq!(actions.iter().filter(|a| matches!(a, Action::Refuse { .. })).count(), 1);
+    }
+    let stranger = Outcome::new(RequestId(99), 0, ServerId("x".into()), Status::Served, 1);
+    assert!(rig.tell(Event::Outcome(stranger)).is_empty());
+    assert!(rig.tell(Event::ClientGone(RequestId(99))).is_empty());
+    assert!(rig.tell(Event::Timer(Timer::Request(RequestId(99)))).is_empty());
+    let (id, actions) = rig.request("c");
+    let server = sent(&actions).expect("sent");
+    rig.outcome(id, 0, &server, Status::Served, 1);
+    assert!(rig.outcome(id, 0, &server, Status::ServerError, 1).is_empty(), "a repeated outcome is ignored");
+}
+
+#[test]
+fn settings_that_make_no_sense_are_an_error() {
+    let broken: [fn(&mut Settings); 5] = [
+        |s| s.classes.clear(),
+        |s| s.plans.clear(),
+        |s| s.plans[0].rate = -1.0,
+        |s| s.plans[0].burst = f64::NAN,
+        |s| s.gateways = 0,
+    ];
+    for change in broken {
+        let mut s = Settings::example();
+        change(&mut s);
+        assert!(Gateway::new(s, 1).is_err());
+    }
+}
+
+#[test]
+fn memory_is_bounded_under_a_flood_of_customers() {
+    let mut rig = Rig::with_servers(wide(), 2);
+    let answered = (0..70_000).filter(|i| refused(&rig.request(&format!("c{i}")).1)).count();
+    assert!(answered >= 70_000 - 65_536, "customers beyond the bound are refused");
+}
--- /dev/null
+++ b/tests/rules.rs
@@ -0,0 +1,191 @@
+//! The five rules, each kept by one gateway alone.
+
+mod common;
+use common::*;
+use turndeck::*;
+
+fn keyed(scope: Scope) -> Settings {
+    let mut s = wide();
+    s.classes[0].effect = Effect::Keyed { scope, window_us: 1_000_000 };
+    s
+}
+
+fn in_cell(server: &str, cell: u64) -> ServerEntry {
+    ServerEntry { cell, ..ServerEntry::ready(server, "a") }
+}
+
+#[test]
+fn a_time_out_at_the_deadline_is_still_answered() {
+    let mut rig = Rig::with_servers(wide(), 2);
+    let (id, actions) = rig.request("c");
+    let server = sent(&actions).expect("sent");
+    let actions = rig.outcome(id, 0, &server, Status::NoAnswer, 4_000_000);
+    assert!(refused(&actions) && sent(&actions).is_none());
+    assert_eq!(rig.gateway.open_requests(), 0);
+}
+
+#[test]
+fn where_a_late_answer_is_worth_nothing_the_aim_ends_the_attempt_and_the_request() {
+    for (late_worth, expected) in [(0.0, 1_000_000), (0.2, 4_000_000)] {
+        let mut settings = wide();
+        settings.classes[0].late_worth = late_worth;
+        let mut rig = Rig::with_servers(settings, 2);
+        let (id, actions) = rig.request("c");
+        let server = sent(&actions).expect("sent");
+        let timeout = actions.iter().find_map(|a| match a {
+            Action::Send { timeout_us, .. } => Some(*timeout_us),
+            _ => None,
+        });
+        assert_eq!(timeout, Some(expected));
+        let actions = rig.outcome(id, 0, &server, Status::NoAnswer, expected);
+        assert!(refused(&actions) && sent(&actions).is_none());
+    }
+}
+
+#[test]
+fn a_request_held_without_servers_is_answered_before_its_client_leaves() {
+    let mut rig = Rig::new(wide());
+    let (id, actions) = rig.request("c");
+    assert!(sent(&actions).is_none() && !refused(&actions));
+    let timer = actions.iter().find_map(|a| match a {
+        Action::SetTimer { after_us, timer: Timer::Request(r) } if *r == id => Some(*after_us),
+        _ => None,
+    });
+    let after = timer.expect("a held request needs a timer");
+    assert!(after < 4_000_000);
+    rig.now += after;
+    assert!(refused(&rig.tell(Event::Timer(Timer::Request(id)))));
+    assert!(!refused(&rig.tell(Event::Timer(Timer::Request(id)))), "one answer only");
+}
+
+#[test]
+fn a_held_request_goes_out_when_a_server_is_listed() {
+    let mut rig = Rig::new(wide());
+    rig.request("c");
+    assert!(sent(&rig.list(ListKind::Partial, vec![ServerEntry::ready("s", "a")])).is_some());
+}
+
+#[test]
+fn an_unsafe_request_that_may_have_run_is_neither_repeated_nor_refused() {
+    let mut settings = wide();
+    settings.classes[0].effect = Effect::Once;
+    let mut rig = Rig::with_servers(settings, 3);
+    let (id, actions) = rig.request("c");
+    let server = sent(&actions).expect("sent");
+    let actions = rig.outcome(id, 0, &server, Status::ConnectionLost, 1_000);
+    assert!(sent(&actions).is_none() && !refused(&actions) && failed(&actions));
+}
+
+#[test]
+fn an_unsafe_request_that_never_ran_is_tried_elsewhere() {
+    let mut settings = wide();
+    settings.classes[0].effect = Effect::Once;
+    let mut rig = Rig::with_servers(settings, 3);
+    let (id, actions) = rig.request("c");
+    let server = sent(&actions).expect("sent");
+    let again = sent(&rig.outcome(id, 0, &server, Status::NoConnection, 1_000)).expect("sent again");
+    assert_ne!(again, server);
+}
+
+#[test]
+fn a_keyed_request_that_may_have_run_stays_in_its_cell() {
+    for _ in 0..8 {
+        let mut rig = Rig::new(keyed(Scope::Cell));
+        rig.list(ListKind::Complete, (0..8).map(|i| in_cell(&format!("s{i}"), i / 2)).collect());
+        let (id, actions) = rig.request("c");
+        let server = sent(&actions).expect("sent");
+        let again = sent(&rig.outcome(id, 0, &server, Status::ServerError, 1_000)).expect("sent again");
+        let cell = |s: &ServerId| s.0[1..].parse::<u64>().expect("number") / 2;
+        assert_eq!(cell(&again), cell(&server));
+    }
+}
+
+#[test]
+fn a_keyed_request_is_not_repeated_after_its_window_nor_refused_outside_one_group() {
+    let mut rig = Rig::with_servers(keyed(Scope::Cell), 3);
+    let (id, actions) = rig.request("c");
+    let server = sent(&actions).expect("sent");
+    let actions = rig.outcome(id, 0, &server, Status::ServerError, 1_000_001);
+    assert!(sent(&actions).is_none() && failed(&actions) && !refused(&actions));
+}
+
+#[test]
+fn never_two_attempts_at_once_where_that_is_forbidden() {
+    let mut settings = wide();
+    settings.parallel_attempts = false;
+    let mut rig = Rig::with_servers(settings, 3);
+    let (id, actions) = rig.request("c");
+    assert!(sent(&actions).is_some());
+    rig.now += 900_000;
+    assert!(sent(&rig.tell(Event::Timer(Timer::Request(id)))).is_none());
+}
+
+#[test]
+fn nothing_new_goes_to_a_server_that_drains_or_is_gone() {
+    let mut rig = Rig::with_servers(wide(), 2);
+    let drained = ServerEntry { health: Health::Draining, ..ServerEntry::ready("s0", "a") };
+    rig.list(ListKind::Partial, vec![drained]);
+    for _ in 0..20 {
+        let (_, actions) = rig.request("c");
+        assert_eq!(sent(&actions), Some(ServerId("s1".into())));
+    }
+    rig.list(ListKind::Complete, vec![ServerEntry::ready("s2", "a")]);
+    let (_, actions) = rig.request("c");
+    assert_eq!(sent(&actions), Some(ServerId("s2".into())));
+}
+
+#[test]
+fn a_cold_server_gets_no_more_than_its_part_though_it_is_empty() {
+    let mut rig = Rig::with_servers(wide(), 4);
+    let cold = ServerEntry { started_us: rig.now, ..ServerEntry::ready("cold", "a") };
+    rig.list(ListKind::Partial, vec![cold]);
+    let mut to_cold = 0;
+    for _ in 0..100 {
+        let (id, actions) = rig.request("c");
+        let server = sent(&actions).expect("sent");
+        // The others hold what they get; the cold one answers at once and always looks empty.
+        if &*server.0 == "cold" {
+            to_cold += 1;
+            rig.outcome(id, 0, &server, Status::Served, 0);
+        }
+        rig.now += 20_000;
+    }
+    // A fifth of what one of five like servers would get in the two seconds is four.
+    assert!((1..=6).contains(&to_cold), "{to_cold} of 100 went to the cold server");
+}
+
+fn with_ceiling() -> Settings {
+    let mut s = wide();
+    s.gateways = 2;
+    s.plans[0].ceiling = Some(Ceiling { rate: 10.0, depth: 20.0 });
+    s
+}
+
+fn passed(rig: &mut Rig, tries: usize) -> usize {
+    passed_by_counter(rig, 2, tries, &mut 0.0)
+}
+
+#[test]
+fn a_restart_mints_no_second_ceiling_burst() {
+    let mut rig = Rig::with_servers(with_ceiling(), 2);
+    assert_eq!(passed(&mut rig, 50), 0, "a gateway that has just started owns nothing of the ceiling");
+    rig.now += 1_000_000;
+    assert_eq!(passed(&mut rig, 50), 5, "half of the ceiling's rate for a second");
+    rig.now += 60_000_000;
+    assert_eq!(passed(&mut rig, 50), 10, "half of the ceiling's depth");
+}
+
+#[test]
+fn nothing_heard_raises_the_ceiling_slice() {
+    let mut settings = with_ceiling();
+    (settings.peer_messages, settings.mail_per_s, settings.counter) = (true, 100.0, true);
+    let mut rig = Rig::with_servers(settings, 2);
+    for k in 0..200u8 {
+        rig.now += 10_000;
+        rig.tell(Event::Peer {
+            from: u32::from(k % 4),
+            bytes: [&[3 + k % 2][..], &[k; 10], &[k; 1][..usize::from(1 - k % 2)]].concat(),
+        });
+    }
+    assert_eq!(passed_by_counter(&mut rig, 2, 50, &mut -1e9), 10);
+}
--- /dev/null
+++ b/wirehost/src/wire.rs
@@ -0,0 +1,518 @@
+//! The wire's messages and their translation; names are the wire's, nothing is decided here.
+
+use serde::{Deserialize, Serialize};
+use std::collections::BTreeMap;
+use turndeck::*;
+
+#[derive(Deserialize)]
+pub struct Batch {
+    #[serde(rename = "timeUs")]
+    pub time_us: u64,
+    pub batch: u64,
+    pub msgs: Vec<Msg>,
+}
+
+#[derive(Serialize)]
+pub struct Reply {
+    pub batch: u64,
+    pub out: Vec<Out>,
+}
+
+#[derive(Deserialize)]
+#[serde(rename_all_fields = "camelCase")]
+pub enum Msg {
+    Start {
+        i: u32,
+        #[serde(default)]
+        prng: u64,
+        boot_info: BootInfo,
+    },
+    Detach {
+        i: u32,
+    },
+    Announce {
+        i: u32,
+        mode: Mode,
+        #[serde(default)]
+        items: Vec<Item>,
+    },
+    WorkItem {
+        i: u32,
+        #[serde(rename = "ref")]
+        id: String,
+        #[serde(default)]
+        first_door: f64,
+        #[serde(default = "one")]
+        width: f64,
+        grace_us: u64,
+        #[serde(default)]
+        contract: String,
+        #[serde(default)]
+        grade: String,
+        #[serde(default)]
+        account: String,
+        #[serde(default = "one")]
+        cost_units: f64,
+    },
+    Flowing {
+        i: u32,
+        #[serde(rename = "ref")]
+        id: String,
+    },
+    Response {
+        i: u32,
+        #[serde(rename = "ref")]
+        id: String,
+        #[serde(default)]
+        delay_seen_us: u64,
+        #[serde(default)]
+        leg: u32,
+        status: WireStatus,
+        #[serde(default)]
+        settled: f64,
+        server: String,
+        #[serde(default)]
+        over: bool,
+        #[serde(default)]
+        fleet_use: f64,
+        #[serde(default)]
+        telemetry: BTreeMap<String, serde_json::Value>,
+    },
+    TimedOutClient {
+        i: u32,
+        #[serde(rename = "ref")]
+        id: String,
+    },
+    Alarm {
+        i: u32,
+        name: String,
+    },
+    ProbeResult {
+        i: u32,
+    },
+    NeighbourSays {
+        i: u32,
+        neighbour: u32,
+        content: String,
+    },
+    TallyBack {
+        i: u32,
+        name: String,
+        status: WireStatus,
+        #[serde(default)]
+        result_value: f64,
+    },
+}
+
+fn one() -> f64 {
+    1.0
+}
+
+#[derive(Deserialize, Clone, Copy)]
+pub enum Mode {
+    Partial,
+    Complete,
+    Persisted,
+    Error,
+}
+
+#[derive(Deserialize, Clone, Copy)]
+#[serde(rename_all = "snake_case")]
+pub enum WireStatus {
+    Served,
+    ServerError,
+    TurnedAway,
+    NoAnswer,
+    NoConnection,
+    ConnectionLost,
+    CalledOff,
+    NotSent,
+}
+
+#[derive(Deserialize)]
+pub struct Item {
+    #[serde(default)]
+    bay: u64,
+    #[serde(default)]
+    hall: String,
+    #[serde(default, rename = "bornUs")]
+    born_us: u64,
+    #[serde(default = "one")]
+    share: f64,
+    server: String,
+    health: WireHealth,
+}
+
+#[derive(Deserialize, Clone, Copy)]
+#[serde(rename_all = "snake_case")]
+pub enum WireHealth {
+    InService,
+    Terminating,
+    Terminated,
+}
+
+#[derive(Deserialize, Default)]
+#[serde(rename_all = "camelCase", default)]
+pub struct BootInfo {
+    balancers: u32,
+    discovery: String,
+    family_info: FamilyInfo,
+    limits: Limits,
+    me: u32,
+    penalties: Penalties,
+    rules: Rules,
+    services: Vec<Service>,
+    tariffs: Vec<Tariff>,
+    zone: String,
+}
+
+#[derive(Deserialize, Default)]
+#[serde(rename_all = "camelCase", default)]
+struct FamilyInfo {
+    mail_per_s: f64,
+    shared_counter: bool,
+    units_top: f64,
+    use_period_us: u64,
+}
+
+#[derive(Deserialize, Default)]
+#[serde(rename_all = "camelCase", default)]
+struct Limits {
+    cancel: bool,
+    max_attempts: u32,
+    max_retry_after_us: u64,
+    parallel_tries: bool,
+    peer_messages: bool,
+    retry_after: bool,
+}
+
+#[derive(Deserialize, Default)]
+#[serde(rename_all = "camelCase", default)]
+struct Penalties {
+    cross_zone: f64,
+}
+
+#[derive(Deserialize, Default)]
+#[serde(rename_all = "camelCase", default)]
+struct Rules {
+    cold_from: f64,
+    cold_us: u64,
+    tip_after_us: u64,
+    tip_multiple: f64,
+}
+
+#[derive(Deserialize, Default)]
+#[serde(rename_all = "camelCase", default)]
+struct Service {
+    aim_us: u64,
+    deadline_us: u64,
+    dedup_scope: String,
+    effect: String,
+    late_worth: f64,
+    name: String,
+    window_us: u64,
+    worth: f64,
+}
+
+#[derive(Deserialize, Default)]
+#[serde(rename_all = "camelCase", default)]
+struct Tariff {
+    burst: f64,
+    cap_depth: f64,
+    ceiling_rate: f64,
+    excess_worth: f64,
+    max_out: u32,
+    name: String,
+    overrun_cost: f64,
+    pays: f64,
+    units_per_s: f64,
+}
+
+impl BootInfo {
+    pub fn settings(self) -> Settings {
+        let scope = |s: &str| match s {
+            "all" => Scope::All,
+            "zone" => Scope::Zone,
+            _ => Scope::Cell,
+        };
+        let effect = |s: &Service| match s.effect.as_str() {
+            "repeatable" => Effect::Repeatable,
+            "by_key" => Effect::Keyed { scope: scope(&s.dedup_scope), window_us: s.window_us },
+            _ => Effect::Once,
+        };
+        let classes = self.services.iter().map(|s| Class {
+            name: s.name.clone(),
+            aim_us: s.aim_us,
+            deadline_us: s.deadline_us,
+            effect: effect(s),
+            worth: s.worth,
+            late_worth: s.late_worth,
+        });
+        let plans = self.tariffs.iter().map(|t| Plan {
+            name: t.name.clone(),
+            rate: t.units_per_s,
+            burst: t.burst,
+            max_open: t.max_out,
+            price: t.pays,
+            excess_worth: t.excess_worth,
+            overrun_cost: t.overrun_cost,
+            ceiling: (t.ceiling_rate > 0.0).then_some(Ceiling { rate: t.ceiling_rate, depth: t.cap_depth }),
+        });
+        let (limits, family) = (self.limits, self.family_info);
+        Settings {
+            gateways: self.balancers,
+            me: self.me,
+            zone: self.zone,
+            classes: classes.collect(),
+            plans: plans.collect(),
+            cold: ColdStart {
+                from: self.rules.cold_from,
+                warm_us: self.rules.cold_us,
+                tip_multiple: self.rules.tip_multiple,
+                tip_after_us: self.rules.tip_after_us,
+            },
+            max_attempts: limits.max_attempts,
+            parallel_attempts: limits.parallel_tries,
+            cancel: limits.cancel,
+            max_retry_after_us: if limits.retry_after { limits.max_retry_after_us } else { 0 },
+            peer_messages: limits.peer_messages,
+            mail_per_s: family.mail_per_s,
+            counter: family.shared_counter,
+            meter_period_us: family.use_period_us,
+            list_on_request: self.discovery == "on_request",
+            cross_zone_cost: self.penalties.cross_zone,
+            most_units: family.units_top,
+        }
+    }
+}
+
+impl From<WireStatus> for Status {
+    fn from(s: WireStatus) -> Self {
+        match s {
+            WireStatus::Served => Status::Served,
+            WireStatus::ServerError => Status::ServerError,
+            WireStatus::TurnedAway => Status::TurnedAway,
+            WireStatus::NoAnswer => Status::NoAnswer,
+            WireStatus::NoConnection => Status::NoConnection,
+            WireStatus::ConnectionLost => Status::ConnectionLost,
+            WireStatus::CalledOff => Status::CalledOff,
+            WireStatus::NotSent => Status::NotSent,
+        }
+    }
+}
+
+fn request_id(text: &str) -> Result<RequestId, String> {
+    let digits = text.len() == 16 && text.bytes().all(|b| matches!(b, b'0'..=b'9' | b'a'..=b'f'));
+    let id = digits.then(|| u64::from_str_radix(text, 16).ok()).flatten();
+    id.map(RequestId).ok_or_else(|| format!("request id {text:?} is not 16 lower-case hex digits"))
+}
+
+fn hex(text: &str) -> Result<Vec<u8>, String> {
+    let pairs = text.as_bytes().chunks(2);
+    let byte = |p: &[u8]| {
+        let digits = p.len() == 2 && p.iter().all(u8::is_ascii_hexdigit);
+        digits.then(|| u8::from_str_radix(std::str::from_utf8(p).ok()?, 16).ok()).flatten()
+    };
+    pairs.map(|p| byte(p).ok_or_else(|| format!("message content {text:?} is not hex bytes"))).collect()
+}
+
+impl Msg {
+    pub fn instance(&self) -> u32 {
+        match *self {
+            Msg::Start { i, .. }
+            | Msg::Detach { i }
+            | Msg::Announce { i, .. }
+            | Msg::WorkItem { i, .. }
+            | Msg::Flowing { i, .. }
+            | Msg::Response { i, .. }
+            | Msg::TimedOutClient { i, .. }
+            | Msg::Alarm { i, .. }
+            | Msg::ProbeResult { i }
+            | Msg::NeighbourSays { i, .. }
+            | Msg::TallyBack { i, .. } => i,
+        }
+    }
+
+    /// The library's event; `None` for what it has no use for.
+    pub fn event(self) -> Result<Option<Event>, String> {
+        Ok(Some(match self {
+            Msg::Start { .. } | Msg::Detach { .. } | Msg::ProbeResult { .. } => return Ok(None),
+            Msg::Announce { mode, items, .. } => Event::Servers {
+                kind: match mode {
+                    Mode::Partial => ListKind::Partial,
+                    Mode::Complete => ListKind::Complete,
+                    Mode::Persisted => ListKind::Persisted,
+                    Mode::Error => ListKind::Error,
+                },
+                entries: items.into_iter().map(Item::entry).collect(),
+            },
+            Msg::WorkItem {
+                id, first_door, width, grace_us, contract, grade, account, cost_units, ..
+            } => Event::Request(Request {
+                id: request_id(&id)?,
+                customer: CustomerId(account.into()),
+                plan: contract,
+                class: grade,
+                units: cost_units,
+                width: width as u32,
+                first_gateway: first_door as u32,
+                patience_us: grace_us,
+            }),
+            Msg::Flowing { id, .. } => Event::Streaming(request_id(&id)?),
+            Msg::Response {
+                id,
+                delay_seen_us,
+                leg,
+                status,
+                settled,
+                server,
+                over,
+                fleet_use,
+                telemetry,
+                ..
+            } => Event::Outcome(Outcome {
+                request: request_id(&id)?,
+                attempt: leg,
+                server: ServerId(server.into()),
+                status: status.into(),
+                elapsed_us: delay_seen_us,
+                closed: over,
+                settled_units: (settled > 0.0).then_some(settled),
+                metered_use: (fleet_use >= 1.0).then_some((fleet_use - 1.0) / 100.0),
+                report: telemetry.iter().filter_map(|(name, v)| load(name, v)).collect(),
+            }),
+            Msg::TimedOutClient { id, .. } => Event::ClientGone(request_id(&id)?),
+            Msg::Alarm { name, .. } => match timer(&name) {
+                Some(t) => Event::Timer(t),
+                None => return Ok(None),
+            },
+            Msg::NeighbourSays { neighbour, content, .. } => {
+                Event::Peer { from: neighbour, bytes: hex(&content)? }
+            }
+            Msg::TallyBack { name, status, result_value, .. } => {
+                Event::Counted { name, status: status.into(), total: result_value }
+            }
+        }))
+    }
+}
+
+fn load(name: &str, value: &serde_json::Value) -> Option<(Load, f64)> {
+    let kind = match name {
+        "inflight" => Load::Inflight,
+        "queue" => Load::Queue,
+        "latency_ms" => Load::ServiceMs,
+        _ => return None,
+    };
+    Some((kind, value.as_f64()?))
+}
+
+fn timer(name: &str) -> Option<Timer> {
+    match name {
+        "interval" => Some(Timer::Interval),
+        _ => request_id(name).ok().map(Timer::Request),
+    }
+}
+
+impl Item {
+    fn entry(self) -> ServerEntry {
+        ServerEntry {
+            server: ServerId(self.server.into()),
+            zone: self.hall,
+            cell: self.bay,
+            share: self.share,
+            started_us: self.born_us,
+            health: match self.health {
+                WireHealth::InService => Health::Ready,
+                WireHealth::Terminating => Health::Draining,
+                WireHealth::Terminated => Health::Removed,
+            },
+        }
+    }
+}
+
+#[derive(Serialize)]
+#[serde(rename_all_fields = "camelCase")]
+pub enum Out {
+    Issue {
+        i: u32,
+        #[serde(rename = "ref")]
+        id: String,
+        server: String,
+        timeout_us: u64,
+    },
+    Revoke {
+        i: u32,
+        #[serde(rename = "ref")]
+        id: String,
+        leg: u32,
+    },
+    Decline {
+        i: u32,
+        #[serde(rename = "ref")]
+        id: String,
+        backoff_us: u64,
+    },
+    Fail {
+        i: u32,
+        #[serde(rename = "ref")]
+        id: String,
+    },
+    SetTimer {
+        i: u32,
+        offset_us: u64,
+        name: String,
+    },
+    Post {
+        i: u32,
+        target: u32,
+        content: String,
+    },
+    PostAmount {
+        i: u32,
+        name: String,
+        delta: f64,
+        ttl_us: u64,
+    },
+    Tail {
+        i: u32,
+        active: bool,
+    },
+    WriteLog {
+        i: u32,
+        line: String,
+    },
+    GiveIn {
+        i: u32,
+        line: String,
+    },
+}
+
+impl Out {
+    pub fn from_action(i: u32, action: Action) -> Self {
+        let text = |id: RequestId| format!("{:016x}", id.0);
+        match action {
+            Action::Send { request, server, timeout_us } => {
+                Out::Issue { i, id: text(request), server: server.0.to_string(), timeout_us }
+            }
+            Action::Cancel { request, attempt } => Out::Revoke { i, id: text(request), leg: attempt },
+            Action::Refuse { request, retry_after_us } => {
+                Out::Decline { i, id: text(request), backoff_us: retry_after_us }
+            }
+            Action::Fail { request } => Out::Fail { i, id: text(request) },
+            Action::SetTimer { after_us, timer } => {
+                let name = match timer {
+                    Timer::Interval => "interval".into(),
+                    Timer::Request(id) => text(id),
+                };
+                Out::SetTimer { i, offset_us: after_us, name }
+            }
+            Action::Tell { to, bytes } => {
+                let content = bytes.iter().map(|b| format!("{b:02x}")).collect();
+                Out::Post { i, target: to, content }
+            }
+            Action::Count { name, amount, ttl_us } => Out::PostAmount { i, name, delta: amount, ttl_us },
+            Action::Subscribe => Out::Tail { i, active: true },
+            Action::Log(line) => Out::WriteLog { i, line },
+        }
+    }
+}
