--- /dev/null
+++ b/gateway/src/counter.rs
@@ -0,0 +1,220 @@
+//! Calls to the shared counter, written one behind another on one connection; answers come in their order.
+
+use crate::driver::Driver;
+use std::collections::VecDeque;
+use std::fmt::Write;
+use std::io;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::net::TcpStream;
+use tokio::sync::mpsc;
+use tokio::time::{sleep_until, timeout, Instant};
+use turndeck::Status;
+
+const CONNECT: Duration = Duration::from_millis(250);
+const BACKOFF_LEAST: Duration = Duration::from_millis(50);
+const BACKOFF_MOST: Duration = Duration::from_secs(1);
+/// The oldest call's answer is this late: the connection is of no further use.
+const SILENT: Duration = Duration::from_secs(1);
+/// Calls that wait on the connection at most; beyond it a call is turned away here.
+const MOST_OUT: usize = 1_024;
+/// A line without an end that is longer than this is nonsense.
+const LINE_BYTES: usize = 256;
+
+/// One call: add `amount` to `name`, which lives for `ttl_ms` if new.
+pub struct Call {
+    pub name: String,
+    pub amount: f64,
+    pub ttl_ms: u64,
+}
+
+/// A call whose answer has not come. One that was given up keeps its place, so that its late answer is not
+/// taken for the next call's.
+struct Waiting {
+    name: Option<String>,
+    since: Instant,
+    /// Where its last byte stands in what is written on this connection.
+    end: u64,
+}
+
+/// Makes calls for good, over one connection at a time.
+pub async fn run(
+    address: SocketAddr,
+    patience: Duration,
+    mut calls: mpsc::UnboundedReceiver<Call>,
+    driver: Rc<Driver>,
+) {
+    let mut backoff = BACKOFF_LEAST;
+    loop {
+        let connected = {
+            let connect = timeout(CONNECT, TcpStream::connect(address));
+            turning_away(connect, &mut calls, &driver).await
+        };
+        if let Ok(Ok(stream)) = connected {
+            let mut line = Line::new(stream, patience);
+            line.serve(&mut calls, &driver).await;
+            line.give_up(&driver);
+            if line.heard {
+                backoff = BACKOFF_LEAST;
+                continue;
+            }
+        }
+        turning_away(tokio::time::sleep(backoff), &mut calls, &driver).await;
+        backoff = (backoff * 2).min(BACKOFF_MOST);
+    }
+}
+
+/// Until `done`, every call ends at once: there is no connection.
+async fn turning_away<F: std::future::Future>(
+    done: F,
+    calls: &mut mpsc::UnboundedReceiver<Call>,
+    driver: &Rc<Driver>,
+) -> F::Output {
+    let mut done = std::pin::pin!(done);
+    loop {
+        tokio::select! {
+            out = &mut done => return out,
+            Some(call) = calls.recv() => driver.counted(call.name, Status::NoConnection, 0.0),
+        }
+    }
+}
+
+struct Line {
+    stream: TcpStream,
+    patience: Duration,
+    waiting: VecDeque<Waiting>,
+    outgoing: Vec<u8>,
+    incoming: Vec<u8>,
+    written: u64,
+    heard: bool,
+}
+
+impl Line {
+    fn new(stream: TcpStream, patience: Duration) -> Self {
+        let _ = stream.set_nodelay(true);
+        Line {
+            stream,
+            patience,
+            waiting: VecDeque::new(),
+            outgoing: Vec::new(),
+            incoming: Vec::new(),
+            written: 0,
+            heard: false,
+        }
+    }
+
+    /// Serves calls until the connection ends or is of no further use.
+    async fn serve(&mut self, calls: &mut mpsc::UnboundedReceiver<Call>, driver: &Rc<Driver>) {
+        loop {
+            let oldest = self.waiting.iter().find(|w| w.name.is_some()).map(|w| w.since + self.patience);
+            let silent = self.waiting.front().map(|w| w.since + SILENT);
+            let due = oldest.into_iter().chain(silent).min();
+            let far = Instant::now() + Duration::from_secs(3_600);
+            tokio::select! {
+                Some(call) = calls.recv() => self.add(call, driver),
+                ready = self.stream.readable() => {
+                    if ready.is_err() || self.read(driver).is_err() {
+                        return;
+                    }
+                }
+                ready = self.stream.writable(), if !self.outgoing.is_empty() => {
+                    if ready.is_err() {
+                        return;
+                    }
+                }
+                () = sleep_until(due.unwrap_or(far)), if due.is_some() => {
+                    self.expire(driver);
+                    if silent.is_some_and(|t| t <= Instant::now()) {
+                        return;
+                    }
+                }
+            }
+            if self.write().is_err() {
+                return;
+            }
+        }
+    }
+
+    fn add(&mut self, call: Call, driver: &Rc<Driver>) {
+        if self.waiting.len() >= MOST_OUT {
+            return driver.counted(call.name, Status::TurnedAway, 0.0);
+        }
+        let mut text = String::new();
+        let _ = write!(text, "bump {} {} {}\r\n", call.name, call.amount, call.ttl_ms);
+        self.outgoing.extend_from_slice(text.as_bytes());
+        let end = self.written + self.outgoing.len() as u64;
+        self.waiting.push_back(Waiting { name: Some(call.name), since: Instant::now(), end });
+    }
+
+    fn write(&mut self) -> io::Result<()> {
+        while !self.outgoing.is_empty() {
+            match self.stream.try_write(&self.outgoing) {
+                Ok(n) => {
+                    self.outgoing.drain(..n);
+                    self.written += n as u64;
+                }
+                Err(e) if e.kind() == io::ErrorKind::WouldBlock => return Ok(()),
+                Err(e) => return Err(e),
+            }
+        }
+        Ok(())
+    }
+
+    fn read(&mut self, driver: &Rc<Driver>) -> io::Result<()> {
+        let mut chunk = [0u8; 4096];
+        loop {
+            match self.stream.try_read(&mut chunk) {
+                Ok(0) => return Err(io::ErrorKind::UnexpectedEof.into()),
+                Ok(n) => self.incoming.extend_from_slice(&chunk[..n]),
+                Err(e) if e.kind() == io::ErrorKind::WouldBlock => break,
+                Err(e) => return Err(e),
+            }
+            while let Some(end) = self.incoming.iter().position(|&b| b == b'\n') {
+                let line: Vec<u8> = self.incoming.drain(..=end).collect();
+                self.answer(&line, driver)?;
+            }
+            if self.incoming.len() > LINE_BYTES {
+                return Err(io::ErrorKind::InvalidData.into());
+            }
+        }
+        Ok(())
+    }
+
+    /// One line answers the oldest call. What cannot be read ends the connection: its order is lost.
+    fn answer(&mut self, line: &[u8], driver: &Rc<Driver>) -> io::Result<()> {
+        let text = std::str::from_utf8(line).unwrap_or("").trim_end();
+        let total = text.strip_prefix("ok ").and_then(|t| t.parse::<f64>().ok()).filter(|t| t.is_finite());
+        let (status, total) = match (text, total) {
+            (_, Some(total)) => (Status::Served, total),
+            ("busy" | "error", _) => (Status::TurnedAway, 0.0),
+            _ => return Err(io::ErrorKind::InvalidData.into()),
+        };
+        let waiting = self.waiting.pop_front().ok_or(io::ErrorKind::InvalidData)?;
+        self.heard = true;
+        if let Some(name) = waiting.name {
+            driver.counted(name, status, total);
+        }
+        Ok(())
+    }
+
+    /// Calls that have waited long enough end without an answer: the amount may have been added.
+    fn expire(&mut self, driver: &Rc<Driver>) {
+        let now = Instant::now();
+        for w in self.waiting.iter_mut().filter(|w| w.since + self.patience <= now) {
+            if let Some(name) = w.name.take() {
+                driver.counted(name, Status::NoAnswer, 0.0);
+            }
+        }
+    }
+
+    /// The connection is over. A call not written whole added nothing; of the others nobody knows.
+    fn give_up(&mut self, driver: &Rc<Driver>) {
+        for w in self.waiting.drain(..) {
+            let status = if w.end <= self.written { Status::NoAnswer } else { Status::NoConnection };
+            if let Some(name) = w.name {
+                driver.counted(name, status, 0.0);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/gateway/src/discovery.rs
@@ -0,0 +1,134 @@
+//! The list of servers: the form in which discovery tells it, and the loop that watches it.
+
+use crate::driver::Driver;
+use crate::upstream::Conn;
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::header::HOST;
+use hyper::{Request, StatusCode};
+use serde::Deserialize;
+use std::fmt;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::time::{sleep, timeout};
+use turndeck::ListKind;
+
+/// How long a watch waits for news. Short, so that a silent discovery is noticed and asked again in time.
+const HOLD_MS: u64 = 2_000;
+/// An answer that comes later than this after the wait is over will not come.
+const PATIENCE: Duration = Duration::from_millis(HOLD_MS + 1_000);
+const BACKOFF_LEAST: Duration = Duration::from_millis(50);
+const BACKOFF_MOST: Duration = Duration::from_secs(1);
+/// A list larger than this is nonsense.
+const LIST_BYTES: usize = 4 << 20;
+
+#[derive(Deserialize, Default)]
+pub struct ServerList {
+    pub rev: u64,
+    pub all: bool,
+    pub targets: Vec<Target>,
+}
+
+#[derive(Deserialize)]
+pub struct Target {
+    pub uid: String,
+    pub endpoint: SocketAddr,
+    #[serde(default)]
+    pub az: String,
+    #[serde(default)]
+    pub pod_group: u64,
+    pub state: State,
+    #[serde(default = "one")]
+    pub capacity_hint: f64,
+    #[serde(default)]
+    pub boot_ms: u64,
+}
+
+fn one() -> f64 {
+    1.0
+}
+
+#[derive(Deserialize, Clone, Copy, PartialEq, Eq)]
+pub enum State {
+    Ready,
+    Terminating,
+    Gone,
+}
+
+/// Why a call to discovery brought nothing.
+enum CallError {
+    Silent,
+    Io(std::io::Error),
+    Http(hyper::Error),
+    Body,
+    Status(StatusCode),
+    Malformed(serde_json::Error),
+}
+
+impl fmt::Display for CallError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            CallError::Silent => write!(f, "no answer"),
+            CallError::Io(e) => write!(f, "{e}"),
+            CallError::Http(e) => write!(f, "{e}"),
+            CallError::Body => write!(f, "the list is cut short or too long"),
+            CallError::Status(s) => write!(f, "status {s}"),
+            CallError::Malformed(e) => write!(f, "malformed list: {e}"),
+        }
+    }
+}
+
+/// Follows the list for good. An error or a silence keeps the last list; a broken watch goes on from its version.
+pub async fn watch(address: SocketAddr, driver: Rc<Driver>) {
+    let mut conn = None;
+    let mut rev = None;
+    let mut backoff = BACKOFF_LEAST;
+    let mut failing = false;
+    loop {
+        match timeout(PATIENCE, call(address, &mut conn, rev)).await.unwrap_or(Err(CallError::Silent)) {
+            Ok(list) => {
+                (rev, backoff, failing) = (Some(list.rev), BACKOFF_LEAST, false);
+                let kind = if list.all { ListKind::Complete } else { ListKind::Partial };
+                driver.servers(kind, list.targets);
+            }
+            Err(e) => {
+                if !std::mem::replace(&mut failing, true) {
+                    eprintln!("discovery: {e}; keeping the last list");
+                }
+                conn = None;
+                sleep(backoff).await;
+                backoff = (backoff * 2).min(BACKOFF_MOST);
+            }
+        }
+    }
+}
+
+async fn call(
+    address: SocketAddr,
+    conn: &mut Option<Conn>,
+    rev: Option<u64>,
+) -> Result<ServerList, CallError> {
+    let path = match rev {
+        None => "/v1/endpoints".to_string(),
+        Some(rev) => format!("/v1/endpoints?from={rev}&hold_ms={HOLD_MS}"),
+    };
+    let open = match conn.take() {
+        Some(open) => open,
+        None => Conn::open(address).await.map_err(CallError::Io)?,
+    };
+    let open = conn.insert(open);
+    let request = Request::get(path).header(HOST, address.to_string()).body(Full::<Bytes>::default());
+    let request = request.map_err(|_| CallError::Body)?;
+    open.ready().await.map_err(CallError::Http)?;
+    let response = open.send(request).await.map_err(CallError::Http)?;
+    let (head, body) = response.into_parts();
+    let body = open.collect(body, LIST_BYTES).await.ok_or(CallError::Body)?;
+    if !open.reusable() {
+        *conn = None;
+    }
+    if head.status != StatusCode::OK {
+        return Err(CallError::Status(head.status));
+    }
+    serde_json::from_slice(&body).map_err(CallError::Malformed)
+}
--- /dev/null
+++ b/gateway/src/driver.rs
@@ -0,0 +1,394 @@
+//! Owns the one [`Gateway`] with its clock, its timers and the table of requests: feeds it events and carries out
+//! its actions. Everything runs on one thread and nothing is held across an await.
+
+use crate::counter::Call;
+use crate::discovery::{State, Target};
+use crate::upstream::{Ended, Upstream};
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::header::{HeaderName, HeaderValue, CONTENT_LENGTH, CONTENT_TYPE, HOST};
+use hyper::http::uri::PathAndQuery;
+use hyper::{Method, Request, StatusCode, Uri};
+use std::cell::{Cell, RefCell};
+use std::cmp::Reverse;
+use std::collections::hash_map::Entry;
+use std::collections::{BinaryHeap, HashMap, VecDeque};
+use std::rc::Rc;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+use tokio::sync::{mpsc, oneshot, Notify};
+use tokio::task::AbortHandle;
+use tokio::time::{sleep_until, Instant};
+use turndeck::*;
+
+pub const TRACE_ID: HeaderName = HeaderName::from_static("x-trace-id");
+pub const EXPIRES_IN: HeaderName = HeaderName::from_static("x-expires-in");
+pub const IDEMPOTENCY_KEY: HeaderName = HeaderName::from_static("idempotency-key");
+
+/// What the decisions may use of a client's time ends this long before the client leaves: the way there and a late
+/// timer come off.
+const MARGIN: Duration = Duration::from_millis(12);
+/// Whatever happens, the client has its answer this long before it leaves.
+const BACKSTOP: Duration = Duration::from_millis(6);
+/// Requests held at most; more are refused unseen.
+const MOST_HELD: usize = 4_096;
+
+/// What of a client's request goes on to a server.
+pub struct Forward {
+    pub method: Method,
+    pub path: PathAndQuery,
+    pub host: HeaderValue,
+    pub trace_id: HeaderValue,
+    pub idempotency_key: Option<HeaderValue>,
+    pub content_type: Option<HeaderValue>,
+    pub body: Bytes,
+}
+
+impl Forward {
+    /// The request as a server gets it, when the gateway will wait for `left`; and the length of its body.
+    fn request(&self, left: Duration) -> (Request<Full<Bytes>>, usize) {
+        let mut request = Request::new(Full::new(self.body.clone()));
+        *request.method_mut() = self.method.clone();
+        *request.uri_mut() = Uri::from(self.path.clone());
+        let headers = request.headers_mut();
+        headers.insert(HOST, self.host.clone());
+        headers.insert(TRACE_ID, self.trace_id.clone());
+        if let Ok(left) = HeaderValue::try_from(format!("{:.3}", left.as_secs_f64())) {
+            headers.insert(EXPIRES_IN, left);
+        }
+        if let Some(key) = &self.idempotency_key {
+            headers.insert(IDEMPOTENCY_KEY, key.clone());
+        }
+        if let Some(kind) = &self.content_type {
+            headers.insert(CONTENT_TYPE, kind.clone());
+        }
+        if self.method != Method::GET {
+            headers.insert(CONTENT_LENGTH, self.body.len().into());
+        }
+        (request, self.body.len())
+    }
+}
+
+/// A client's request, read and checked.
+pub struct Arrival {
+    pub request: turndeck::Request,
+    /// When the client leaves.
+    pub gone_at: Instant,
+    pub forward: Forward,
+}
+
+/// The one final answer of a request.
+pub enum Answer {
+    Served(Bytes),
+    Refused { retry_after: Duration },
+    Failed(StatusCode),
+}
+
+/// Why a request was not taken.
+pub enum NotTaken {
+    /// One with the same id is open.
+    Duplicate,
+    Full,
+}
+
+struct Held {
+    answer: Option<oneshot::Sender<Answer>>,
+    answer_by: Instant,
+    forward: Rc<Forward>,
+    /// By number; those that ended are none.
+    attempts: Vec<Option<Out>>,
+    /// An attempt ended without an answer in time.
+    timed_out: bool,
+}
+
+struct Out {
+    server: ServerId,
+    since: Instant,
+    task: AbortHandle,
+}
+
+#[derive(PartialEq, Eq, PartialOrd, Ord)]
+enum Due {
+    Timer(TimerKey),
+    Backstop(u64),
+}
+
+#[derive(PartialEq, Eq, PartialOrd, Ord)]
+enum TimerKey {
+    Interval,
+    Request(u64),
+}
+
+struct Inner {
+    gateway: Gateway,
+    events: VecDeque<Event>,
+    actions: Vec<Action>,
+    held: HashMap<RequestId, Held>,
+    timers: BinaryHeap<Reverse<(Instant, Due)>>,
+}
+
+pub struct Driver {
+    inner: RefCell<Inner>,
+    upstream: Rc<Upstream>,
+    counter: mpsc::UnboundedSender<Call>,
+    sooner: Notify,
+    /// The clock: Unix time at the start, as servers' starts and the names of counts are told in it, then a
+    /// monotonic span.
+    start: (u64, Instant),
+    listed: Cell<bool>,
+}
+
+impl Driver {
+    pub fn new(gateway: Gateway, upstream: Rc<Upstream>, counter: mpsc::UnboundedSender<Call>) -> Self {
+        let unix = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+        Driver {
+            inner: RefCell::new(Inner {
+                gateway,
+                events: VecDeque::new(),
+                actions: Vec::new(),
+                held: HashMap::new(),
+                timers: BinaryHeap::new(),
+            }),
+            upstream,
+            counter,
+            sooner: Notify::new(),
+            start: (unix.as_micros() as u64, Instant::now()),
+            listed: Cell::new(false),
+        }
+    }
+
+    /// Whether discovery has told the list since the start.
+    pub fn listed(&self) -> bool {
+        self.listed.get()
+    }
+
+    fn now(&self) -> Micros {
+        self.start.0 + self.start.1.elapsed().as_micros() as u64
+    }
+
+    /// News of the servers.
+    pub fn servers(self: &Rc<Self>, kind: ListKind, targets: Vec<Target>) {
+        self.listed.set(self.listed.get() || kind != ListKind::Persisted);
+        if kind == ListKind::Partial && targets.is_empty() {
+            return;
+        }
+        self.upstream.update(kind != ListKind::Partial, &targets);
+        let entries = targets.into_iter().map(|t| ServerEntry {
+            server: ServerId(t.uid.into()),
+            zone: t.az,
+            cell: t.pod_group,
+            share: t.capacity_hint,
+            started_us: t.boot_ms.saturating_mul(1_000),
+            health: match t.state {
+                State::Ready => Health::Ready,
+                State::Terminating => Health::Draining,
+                State::Gone => Health::Removed,
+            },
+        });
+        self.feed(Event::Servers { kind, entries: entries.collect() });
+    }
+
+    /// A call to the counter ended.
+    pub fn counted(self: &Rc<Self>, name: String, status: Status, total: f64) {
+        self.feed(Event::Counted { name, status, total });
+    }
+
+    /// Takes a request. Its one answer comes by the receiver before the client leaves.
+    pub fn take(self: &Rc<Self>, arrival: Arrival) -> Result<oneshot::Receiver<Answer>, NotTaken> {
+        let (sender, receiver) = oneshot::channel();
+        let Arrival { mut request, gone_at, forward } = arrival;
+        let answer_by = gone_at.checked_sub(BACKSTOP).unwrap_or(gone_at);
+        {
+            let mut inner = self.inner.borrow_mut();
+            if inner.held.len() >= MOST_HELD {
+                return Err(NotTaken::Full);
+            }
+            match inner.held.entry(request.id) {
+                Entry::Occupied(_) => return Err(NotTaken::Duplicate),
+                Entry::Vacant(place) => place.insert(Held {
+                    answer: Some(sender),
+                    answer_by,
+                    forward: Rc::new(forward),
+                    attempts: Vec::new(),
+                    timed_out: false,
+                }),
+            };
+            self.set(&mut inner, answer_by, Due::Backstop(request.id.0));
+        }
+        let left = gone_at.saturating_duration_since(Instant::now() + MARGIN);
+        request.patience_us = left.as_micros() as u64;
+        self.feed(Event::Request(request));
+        Ok(receiver)
+    }
+
+    /// The client of a request has gone: what is out for it is called off.
+    pub fn client_gone(self: &Rc<Self>, id: RequestId) {
+        let open = match self.inner.borrow_mut().held.get_mut(&id) {
+            Some(held) => held.answer.take().is_some(),
+            None => false,
+        };
+        if open {
+            self.feed(Event::ClientGone(id));
+            forget(&mut self.inner.borrow_mut(), id);
+        }
+    }
+
+    fn attempt_ended(self: &Rc<Self>, id: RequestId, attempt: usize, ended: Ended) {
+        let outcome = {
+            let mut inner = self.inner.borrow_mut();
+            let Some(held) = inner.held.get_mut(&id) else { return };
+            let Some(out) = held.attempts.get_mut(attempt).and_then(Option::take) else { return };
+            held.timed_out = ended.status == Status::NoAnswer;
+            if ended.status == Status::Served {
+                if let Some(answer) = held.answer.take() {
+                    let _ = answer.send(Answer::Served(ended.body));
+                }
+            }
+            let elapsed = out.since.elapsed().as_micros() as Micros;
+            let mut outcome = Outcome::new(id, attempt as u32, out.server, ended.status, elapsed);
+            outcome.closed = held.answer.is_none();
+            outcome.metered_use = ended.metered_use;
+            outcome.report = ended.report;
+            outcome
+        };
+        self.feed(Event::Outcome(outcome));
+        forget(&mut self.inner.borrow_mut(), id);
+    }
+
+    /// Feeds one event and all that follow from it at once.
+    fn feed(self: &Rc<Self>, event: Event) {
+        let mut inner = self.inner.borrow_mut();
+        inner.events.push_back(event);
+        while let Some(event) = inner.events.pop_front() {
+            let mut actions = std::mem::take(&mut inner.actions);
+            let now = self.now();
+            inner.gateway.handle(now, event, &mut actions);
+            for action in actions.drain(..) {
+                self.carry_out(&mut inner, action);
+            }
+            inner.actions = actions;
+        }
+    }
+
+    fn carry_out(self: &Rc<Self>, inner: &mut Inner, action: Action) {
+        match action {
+            Action::Send { request, server, timeout_us } => self.send(inner, request, server, timeout_us),
+            Action::Cancel { request, attempt } => {
+                let held = inner.held.get_mut(&request);
+                let out = held.and_then(|h| h.attempts.get_mut(attempt as usize)).and_then(Option::take);
+                if let Some(out) = out {
+                    // Ending the task drops its connection, which closes it.
+                    out.task.abort();
+                    let elapsed = out.since.elapsed().as_micros() as Micros;
+                    let outcome = Outcome::new(request, attempt, out.server, Status::CalledOff, elapsed);
+                    inner.events.push_back(Event::Outcome(outcome.closing()));
+                    forget(inner, request);
+                }
+            }
+            Action::Refuse { request, retry_after_us } => {
+                answer(inner, request, |_| Answer::Refused {
+                    retry_after: Duration::from_micros(retry_after_us),
+                });
+            }
+            Action::Fail { request } => {
+                answer(inner, request, |timed_out| {
+                    Answer::Failed(if timed_out {
+                        StatusCode::GATEWAY_TIMEOUT
+                    } else {
+                        StatusCode::BAD_GATEWAY
+                    })
+                });
+            }
+            Action::SetTimer { after_us, timer } => {
+                let key = match timer {
+                    Timer::Interval => TimerKey::Interval,
+                    Timer::Request(id) => TimerKey::Request(id.0),
+                };
+                self.set(inner, Instant::now() + Duration::from_micros(after_us), Due::Timer(key));
+            }
+            Action::Count { name, amount, ttl_us } => {
+                let _ = self.counter.send(Call { name, amount, ttl_ms: (ttl_us / 1_000).max(1) });
+            }
+            Action::Log(line) => eprintln!("{line}"),
+            // The list is watched in any case, and there are no messages between gateways.
+            Action::Subscribe | Action::Tell { .. } => {}
+        }
+    }
+
+    fn send(self: &Rc<Self>, inner: &mut Inner, id: RequestId, server: ServerId, timeout_us: Micros) {
+        let Some(held) = inner.held.get_mut(&id).filter(|h| h.answer.is_some()) else { return };
+        let (driver, forward, to) = (self.clone(), held.forward.clone(), server.clone());
+        let attempt = held.attempts.len();
+        let since = Instant::now();
+        let task = tokio::task::spawn_local(async move {
+            let deadline = since + Duration::from_micros(timeout_us);
+            let ended = driver.upstream.attempt(&to, |left| forward.request(left), deadline).await;
+            driver.attempt_ended(id, attempt, ended);
+        });
+        held.attempts.push(Some(Out { server, since, task: task.abort_handle() }));
+    }
+
+    fn set(&self, inner: &mut Inner, at: Instant, due: Due) {
+        if inner.timers.peek().is_none_or(|Reverse((first, _))| at < *first) {
+            self.sooner.notify_one();
+        }
+        inner.timers.push(Reverse((at, due)));
+    }
+
+    /// Fires timers for good.
+    pub async fn run_timers(self: Rc<Self>) {
+        loop {
+            let first = self.inner.borrow().timers.peek().map(|Reverse((at, _))| *at);
+            let far = Instant::now() + Duration::from_secs(3_600);
+            tokio::select! {
+                () = sleep_until(first.unwrap_or(far)) => {}
+                () = self.sooner.notified() => {}
+            }
+            while let Some(due) = self.pop_due() {
+                match due {
+                    Due::Timer(TimerKey::Interval) => self.feed(Event::Timer(Timer::Interval)),
+                    Due::Timer(TimerKey::Request(id)) => {
+                        self.feed(Event::Timer(Timer::Request(RequestId(id))))
+                    }
+                    Due::Backstop(id) => self.backstop(RequestId(id)),
+                }
+            }
+        }
+    }
+
+    fn pop_due(&self) -> Option<Due> {
+        let timers = &mut self.inner.borrow_mut().timers;
+        let now = Instant::now();
+        let due = timers.peek().is_some_and(|Reverse((at, _))| *at <= now);
+        due.then(|| timers.pop()).flatten().map(|Reverse((_, due))| due)
+    }
+
+    /// Guards against a request that nobody has answered: its client hears before it leaves.
+    fn backstop(self: &Rc<Self>, id: RequestId) {
+        let sender = match self.inner.borrow_mut().held.get_mut(&id) {
+            Some(held) if held.answer_by <= Instant::now() => held.answer.take(),
+            _ => None,
+        };
+        if let Some(sender) = sender {
+            let _ = sender.send(Answer::Failed(StatusCode::GATEWAY_TIMEOUT));
+            self.feed(Event::ClientGone(id));
+            forget(&mut self.inner.borrow_mut(), id);
+        }
+    }
+}
+
+/// Gives the final answer, if it has not been given.
+fn answer(inner: &mut Inner, id: RequestId, make: impl FnOnce(bool) -> Answer) {
+    let Some(held) = inner.held.get_mut(&id) else { return };
+    if let Some(sender) = held.answer.take() {
+        let _ = sender.send(make(held.timed_out));
+    }
+    forget(inner, id);
+}
+
+/// Drops a request that is answered once none of its attempts is out.
+fn forget(inner: &mut Inner, id: RequestId) {
+    let over = |h: &Held| h.answer.is_none() && h.attempts.iter().all(Option::is_none);
+    if inner.held.get(&id).is_some_and(over) {
+        inner.held.remove(&id);
+    }
+}
--- /dev/null
+++ b/gateway/src/main.rs
@@ -0,0 +1,82 @@
+//! One gateway: start, wiring, signals, exit code.
+#![forbid(unsafe_code)]
+
+mod config;
+mod counter;
+mod discovery;
+mod driver;
+mod server;
+mod upstream;
+
+use config::Config;
+use driver::Driver;
+use server::Door;
+use std::process::ExitCode;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::net::TcpListener;
+use tokio::signal::unix::{signal, SignalKind};
+use tokio::sync::mpsc;
+use tokio::task::{spawn_local, LocalSet};
+use tokio::time::{sleep, timeout};
+use turndeck::{Gateway, ListKind};
+use upstream::{Limits, Upstream};
+
+/// After SIGTERM connections go on coming for up to 0.4 s.
+const STILL_COMING: Duration = Duration::from_millis(500);
+/// What is held then has this long to end; the longest deadline is shorter, and SIGKILL comes later.
+const FINISH: Duration = Duration::from_millis(3_050);
+
+fn main() -> ExitCode {
+    match start() {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(text) => {
+            eprintln!("frosthatch: {text}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+fn start() -> Result<(), String> {
+    let config = Config::from_env().map_err(|e| e.to_string())?;
+    let runtime =
+        tokio::runtime::Builder::new_current_thread().enable_all().build().map_err(|e| e.to_string())?;
+    runtime.block_on(LocalSet::new().run_until(serve(config)))
+}
+
+async fn serve(config: Config) -> Result<(), String> {
+    let gateway = Gateway::new(config.settings.clone(), config.seed).map_err(|e| e.to_string())?;
+    let mut terminate = signal(SignalKind::terminate()).map_err(|e| format!("no signals: {e}"))?;
+    let upstream = Rc::new(Upstream::new(Limits {
+        connect_timeout: config.connect_timeout,
+        idle: config.server_idle / 3,
+        connections: config.sockets / 2,
+    }));
+    let (calls, called) = mpsc::unbounded_channel();
+    let driver = Rc::new(Driver::new(gateway, upstream.clone(), calls));
+    driver.servers(ListKind::Persisted, config.known.targets);
+    let listener = TcpListener::bind(config.listen).await.map_err(|e| format!("cannot listen: {e}"))?;
+    let address = listener.local_addr().map_err(|e| format!("cannot listen: {e}"))?;
+    eprintln!("{} listens on {address}", config.name);
+    spawn_local(driver.clone().run_timers());
+    spawn_local(upstream::sweep(upstream));
+    spawn_local(discovery::watch(config.discovery, driver.clone()));
+    if let Some(address) = config.counter {
+        spawn_local(counter::run(address, config.counter_timeout, called, driver.clone()));
+    }
+    let door = Door::new(driver, config.settings);
+    spawn_local(door.clone().accept(listener));
+
+    terminate.recv().await;
+    door.leave();
+    sleep(STILL_COMING).await;
+    let finish = async {
+        while door.open() > 0 {
+            // Again and again: a connection may have come since.
+            door.close();
+            sleep(Duration::from_millis(10)).await;
+        }
+    };
+    let _ = timeout(FINISH - STILL_COMING, finish).await;
+    Ok(())
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -32,10 +32,12 @@
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
 
+mod boot;
 mod control;
 mod decayed;
 mod gossip;
 mod interface;
 
+pub use boot::BootInfo;
 pub use control::Gateway;
 pub use interface::*;
