Carry a customer's level over the turn of its count

Cause: counts live a minute and their names turn with the clock's minute; at the turn on_counted() took every store for full, so all customers beyond their quota got a second burst. Lines: control.rs, on_counted(), level. Mend: who makes the new count puts in what the old one held.

--- a/src/control.rs
+++ b/src/control.rs
@@ -215,11 +215,11 @@
     demand: Decayed,
     others: Decayed,
     heard_at: Option<Micros>,
-    asking: u8,               // asks out for this customer
-    held: Vec<RequestId>,     // requests that wait for the answer
-    unposted: f64,            // used and not yet told; below 0: told and not used
-    leases: VecDeque<Micros>, // as keeper of a cap: places given to others, till when
-    counted: Option<f64>,
+    asking: u8,                  // asks out for this customer
+    held: Vec<RequestId>,        // requests that wait for the answer
+    unposted: f64,               // used and not yet told; below 0: told and not used
+    leases: VecDeque<Micros>,    // as keeper of a cap: places given to others, till when
+    counted: Option<(u64, f64)>, // the count's last total, and which of its lives that was
 }
 
 impl Customer {
@@ -486,16 +486,27 @@
         let Some(c) = self.customers.get_mut(&customer) else { return };
         let q = self.quotas[c.plan];
         if status == Status::Served && total.is_finite() {
+            let life = sent / COUNT_TTL_US;
             let filled = if q.places { 0.0 } else { q.rate * (sent % COUNT_TTL_US) as f64 / 1e6 };
-            let (most, level) = (q.most, q.most + filled - (total - wanted));
+            let (most, mut level) = (q.most, q.most + filled - (total - wanted));
+            // Guards against a second burst for everyone at the turn of lives: who makes the new count carries on
+            // from the level that it knew, and what the others have not used since.
+            let turned = total == amount && c.counted.is_some_and(|(last, _)| last != life);
+            let unheard_s = c.heard_at.map_or(0.0, |t| self.now.saturating_sub(t) as f64 / 1e6);
+            let known = c.level + if q.places { 0.0 } else { q.rate * (1.0 - c.part(self.now)) * unheard_s };
+            if turned && level > known {
+                c.unposted += level - known;
+                level = known;
+            }
             // Of many gateways who makes the count sets it right, later few do, lest all overshoot in turn.
             let few = !c.thin(&q);
             let fixes = few || total == amount || self.rng.next_u32() < u32::MAX / FIXERS;
             if fixes && (level > if few { 1.1 } else { 1.5 } * most || level < -most) {
                 c.unposted += (level - most).max(level.min(0.0)).clamp(-1e6, 1e6);
             }
-            let others = c.counted.map_or(0.0, |last| (total - amount - last).max(0.0));
-            c.counted = Some(total);
+            let since = |(last, old): (u64, f64)| if last == life { total - amount - old } else { 0.0 };
+            let others = c.counted.map_or(0.0, since).max(0.0);
+            c.counted = Some((life, total));
             c.others.add(self.now, RATE_TAU_US, others.min(most));
             (c.level, c.heard_at, c.at) = (level.clamp(-most, most), Some(self.now), self.now);
         } else if status != Status::NoAnswer {
--- a/tests/mechanism.rs
+++ b/tests/mechanism.rs
@@ -234,3 +234,22 @@
     let answered = (0..70_000).filter(|i| refused(&rig.request(&format!("c{i}")).1)).count();
     assert!(answered >= 70_000 - 65_536, "customers beyond the bound are refused");
 }
+
+/// Guards against a second burst for every customer whenever the counts begin anew.
+#[test]
+fn a_used_up_store_stays_used_up_when_its_count_begins_anew() {
+    let mut settings = Settings::example();
+    (settings.gateways, settings.counter) = (2, true);
+    (settings.plans[0].rate, settings.plans[0].burst) = (0.5, 10.0);
+    let mut rig = Rig::with_servers(settings, 4);
+    rig.now = 1_019_500_000; // half a second before a minute is over
+    let mut total = 0.0;
+    let burst = passed_by_counter(&mut rig, 2, 30, &mut total);
+    assert!((9..=11).contains(&burst), "the burst: {burst}, {total}");
+    rig.now = 1_022_000_000;
+    total = 0.0;
+    let again = passed_by_counter(&mut rig, 2, 30, &mut total);
+    assert!((1..=2).contains(&again), "{again} more in 2.5 s");
+    // All of it is in the new count, for the other gateway to see.
+    assert!((9.0..=12.0).contains(&total), "{total} used");
+}
