Bound clients' connections and what is kept for a request

Cause, by reading: nothing bounded clients' connections, so that silent ones could take the descriptors that attempts need; an X-Expires-In of an hour kept a timer that long; the end after SIGTERM could wait past the earliest SIGKILL. Lines: server.rs accept() and read(), main.rs FINISH. Mend: idle connections make room past the clients' share; a class's deadline bounds patience, and the end. The new test fails without the first (the silent client is never closed).

--- a/gateway/src/main.rs
+++ b/gateway/src/main.rs
@@ -24,8 +24,10 @@
 
 /// After SIGTERM connections go on coming for up to 0.4 s.
 const STILL_COMING: Duration = Duration::from_millis(500);
-/// What is held then has this long to end; the longest deadline is shorter, and SIGKILL comes later.
-const FINISH: Duration = Duration::from_millis(3_050);
+/// Once the longest deadline has passed after that, nothing is held; SIGKILL may come 0.7 s after it.
+const LAST_ANSWERS: Duration = Duration::from_millis(50);
+/// Descriptors for the listener, discovery, the counter and the runtime.
+const OTHER_SOCKETS: usize = 16;
 
 fn main() -> ExitCode {
     match start() {
@@ -64,7 +66,9 @@
     if let Some(address) = config.counter {
         spawn_local(counter::run(address, config.counter_timeout, called, driver.clone()));
     }
-    let door = Door::new(driver, config.settings);
+    let longest = config.settings.classes.iter().map(|c| c.deadline_us).max().unwrap_or(0);
+    let clients = config.sockets - config.sockets / 2 - OTHER_SOCKETS;
+    let door = Door::new(driver, config.settings, clients);
     spawn_local(door.clone().accept(listener));
 
     terminate.recv().await;
@@ -77,6 +81,6 @@
             sleep(Duration::from_millis(10)).await;
         }
     };
-    let _ = timeout(FINISH - STILL_COMING, finish).await;
+    let _ = timeout(Duration::from_micros(longest) + LAST_ANSWERS, finish).await;
     Ok(())
 }
--- a/gateway/src/server.rs
+++ b/gateway/src/server.rs
@@ -39,12 +39,14 @@
     /// Tells open connections to end once idle.
     close: Notify,
     open: Cell<usize>,
+    /// Connections held at most.
+    most: usize,
 }
 
 impl Door {
-    pub fn new(driver: Rc<Driver>, settings: Settings) -> Rc<Self> {
+    pub fn new(driver: Rc<Driver>, settings: Settings, most: usize) -> Rc<Self> {
         let (leaving, open) = (Cell::new(false), Cell::new(0));
-        Rc::new(Door { driver, settings, leaving, close: Notify::new(), open })
+        Rc::new(Door { driver, settings, leaving, close: Notify::new(), open, most })
     }
 
     /// From now on every answer closes its connection.
@@ -64,6 +66,11 @@
     /// Accepts connections for good.
     pub async fn accept(self: Rc<Self>, listener: TcpListener) {
         loop {
+            // Guards against running out of descriptors: those that are idle make room.
+            while self.open() >= self.most {
+                self.close();
+                sleep(Duration::from_millis(5)).await;
+            }
             match listener.accept().await {
                 Ok((stream, _)) => {
                     let door = self.clone();
@@ -163,7 +170,9 @@
         if class.effect != Effect::Repeatable {
             text(h, &IDEMPOTENCY_KEY)?;
         }
-        let gone_at = received + Duration::from_secs_f64(patience);
+        // Nobody waits past the class's deadline, whatever the header says: what is kept for a request is short-lived.
+        let patience = Duration::from_secs_f64(patience).min(Duration::from_micros(class.deadline_us));
+        let gone_at = received + patience;
         let body = timeout_at(gone_at, Limited::new(body, BODY_BYTES).collect());
         let body = match body.await {
             Ok(Ok(body)) => body.to_bytes(),
--- a/gateway/tests/clients.rs
+++ b/gateway/tests/clients.rs
@@ -94,6 +94,16 @@
     assert_eq!(server.requests_so_far(), 1);
 }
 
+/// Guards against connections that say nothing and use up the descriptors: they make room.
+#[test]
+fn connections_that_say_nothing_make_room_for_others() {
+    let (_server, gateway) = stage();
+    let mut silent: Vec<Client> = (0..200).map(|_| gateway.client()).collect();
+    assert_eq!(gateway.ask(&Ask::check()).body, "served");
+    // Of the 256 descriptors clients get 112.
+    assert!(silent[0].answer().is_none(), "the first is closed");
+}
+
 /// Guards against two copies of one request under way at once.
 #[test]
 fn an_id_that_is_open_is_not_taken_again() {
--- a/gateway/tests/common/mod.rs
+++ b/gateway/tests/common/mod.rs
@@ -421,7 +421,10 @@
         let _ = self.write.write_all(text.as_bytes());
     }
 
+    /// None if the connection ends first; an answer that does not come at all is a failure of the test.
     pub fn answer(&mut self) -> Option<Message> {
+        let waiting = self.read.fill_buf().map_err(|e| e.kind());
+        assert!(waiting != Err(std::io::ErrorKind::WouldBlock), "neither an answer nor an end");
         read_message(&mut self.read)
     }
 
