Carry levels over the turn of counts for stores of units only

A plan that caps attempts at once counts places: what ends unheard is not added to the level, and an old level put into the new count was missing for a whole minute. Ruled out: stores of units, by leaving only the places out. Lines: control.rs, on_counted(), turned and known.

--- a/src/control.rs
+++ b/src/control.rs
@@ -491,9 +491,10 @@
             let (most, mut level) = (q.most, q.most + filled - (total - wanted));
             // Guards against a second burst for everyone at the turn of lives: who makes the new count carries on
             // from the level that it knew, and what the others have not used since.
-            let turned = total == amount && c.counted.is_some_and(|(last, _)| last != life);
+            // Places come back by themselves: there an old level would be lost for the whole life.
+            let turned = !q.places && total == amount && c.counted.is_some_and(|(last, _)| last != life);
             let unheard_s = c.heard_at.map_or(0.0, |t| self.now.saturating_sub(t) as f64 / 1e6);
-            let known = c.level + if q.places { 0.0 } else { q.rate * (1.0 - c.part(self.now)) * unheard_s };
+            let known = c.level + q.rate * (1.0 - c.part(self.now)) * unheard_s;
             if turned && level > known {
                 c.unposted += level - known;
                 level = known;
--- a/tests/mechanism.rs
+++ b/tests/mechanism.rs
@@ -253,3 +253,45 @@
     // All of it is in the new count, for the other gateway to see.
     assert!((9.0..=12.0).contains(&total), "{total} used");
 }
+
+/// Guards against places that are lost for a minute: what was out at the turn of the counts comes back.
+#[test]
+fn places_come_back_when_their_count_begins_anew() {
+    let mut settings = Settings::example();
+    (settings.gateways, settings.counter) = (2, true);
+    (settings.plans[0].rate, settings.plans[0].burst, settings.plans[0].max_open) = (0.0, 0.0, 4);
+    let mut rig = Rig::with_servers(settings, 4);
+    rig.now = 1_019_000_000;
+    let mut total = 0.0;
+    // Answers what is asked of the counter.
+    let settle = |rig: &mut Rig, mut actions: Vec<Action>, total: &mut f64| {
+        let mut k = 0;
+        while k < actions.len() {
+            if let Action::Count { name, amount, .. } = actions[k].clone() {
+                *total += amount;
+                actions.extend(rig.tell(Event::Counted { name, status: Status::Served, total: *total }));
+            }
+            k += 1;
+        }
+        sent(&actions)
+    };
+    // Opens as many as may be open at once.
+    let open = |rig: &mut Rig, total: &mut f64| {
+        let mut out = Vec::new();
+        for _ in 0..6 {
+            let (id, actions) = rig.ask(|r| r.width = 2);
+            out.extend(settle(rig, actions, total).map(|server| (id, server)));
+        }
+        out
+    };
+    let first = open(&mut rig, &mut total);
+    assert_eq!(first.len(), 4);
+    rig.now = 1_022_000_000;
+    total = 0.0;
+    for (id, server) in first {
+        let actions = rig.outcome(id, 0, &server, Status::Served, 0);
+        settle(&mut rig, actions, &mut total);
+    }
+    let then = open(&mut rig, &mut total).len();
+    assert_eq!(then, 4, "all places are back");
+}
