Read the configuration again on SIGHUP; move discovery and counter

Cause: main.rs installed no handler for SIGHUP, and discovery::watch and counter::run knew one address for good. Mend: a handler before the listener opens; new addresses reach both loops over a watch channel. A new discovery begins with its whole list; calls out at the old counter may end while new ones go to the new one; an unreadable file is one log line. The counter's channel is bounded, and noise without an end of line ends its connection at once.

--- a/gateway/src/config.rs
+++ b/gateway/src/config.rs
@@ -11,8 +11,7 @@
 pub struct Config {
     pub name: String,
     pub listen: SocketAddr,
-    pub discovery: SocketAddr,
-    pub counter: Option<SocketAddr>,
+    pub addresses: Addresses,
     pub seed: u64,
     /// Descriptors that the process may hold.
     pub sockets: usize,
@@ -25,6 +24,13 @@
     pub counter_timeout: Duration,
 }
 
+/// What a new configuration may change while the program runs.
+#[derive(Clone, Copy, PartialEq, Eq)]
+pub struct Addresses {
+    pub discovery: SocketAddr,
+    pub counter: Option<SocketAddr>,
+}
+
 /// Why there is no configuration; one line for whoever started the program.
 #[derive(Debug)]
 pub enum ConfigError {
@@ -121,8 +127,7 @@
         Ok(Config {
             name: file.name,
             listen: file.listen,
-            discovery: file.discovery,
-            counter: file.counter,
+            addresses: Addresses { discovery: file.discovery, counter: file.counter },
             seed,
             sockets: file.limits.sockets,
             known: file.known,
--- a/gateway/src/counter.rs
+++ b/gateway/src/counter.rs
@@ -1,14 +1,14 @@
 //! Calls to the shared counter, written one behind another on one connection; answers come in their order.
 
+use crate::config::Addresses;
 use crate::driver::Driver;
 use std::collections::VecDeque;
 use std::fmt::Write;
 use std::io;
-use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::net::TcpStream;
-use tokio::sync::mpsc;
+use tokio::sync::{mpsc, watch};
 use tokio::time::{sleep_until, timeout, Instant};
 use turndeck::Status;
 
@@ -18,7 +18,7 @@
 /// The oldest call's answer is this late: the connection is of no further use.
 const SILENT: Duration = Duration::from_secs(1);
 /// Calls that wait on the connection at most; beyond it a call is turned away here.
-const MOST_OUT: usize = 1_024;
+pub const MOST_OUT: usize = 1_024;
 /// A line without an end that is longer than this is nonsense.
 const LINE_BYTES: usize = 256;
 
@@ -38,29 +38,47 @@
     end: u64,
 }
 
-/// Makes calls for good, over one connection at a time.
+/// Makes calls for good, over one connection at a time, wherever the counter stands.
 pub async fn run(
-    address: SocketAddr,
+    mut addresses: watch::Receiver<Addresses>,
     patience: Duration,
-    mut calls: mpsc::UnboundedReceiver<Call>,
+    mut calls: mpsc::Receiver<Call>,
     driver: Rc<Driver>,
 ) {
     let mut backoff = BACKOFF_LEAST;
     loop {
+        let Some(address) = addresses.borrow_and_update().counter else {
+            match turning_away(addresses.changed(), &mut calls, &driver).await {
+                Ok(()) => continue,
+                Err(_) => return,
+            }
+        };
         let connected = {
             let connect = timeout(CONNECT, TcpStream::connect(address));
             turning_away(connect, &mut calls, &driver).await
         };
         if let Ok(Ok(stream)) = connected {
             let mut line = Line::new(stream, patience);
-            line.serve(&mut calls, &driver).await;
+            let moved = tokio::select! {
+                () = line.serve(&mut calls, &driver) => false,
+                moved = addresses.wait_for(|now| now.counter != Some(address)) => moved.is_ok(),
+            };
+            if moved {
+                // What is out at the old one may end; new calls go to the new one.
+                tokio::task::spawn_local(line.finish(driver.clone()));
+                backoff = BACKOFF_LEAST;
+                continue;
+            }
             line.give_up(&driver);
             if line.heard {
                 backoff = BACKOFF_LEAST;
                 continue;
             }
         }
-        turning_away(tokio::time::sleep(backoff), &mut calls, &driver).await;
+        let pause = async {
+            let _ = timeout(backoff, addresses.changed()).await;
+        };
+        turning_away(pause, &mut calls, &driver).await;
         backoff = (backoff * 2).min(BACKOFF_MOST);
     }
 }
@@ -68,7 +86,7 @@
 /// Until `done`, every call ends at once: there is no connection.
 async fn turning_away<F: std::future::Future>(
     done: F,
-    calls: &mut mpsc::UnboundedReceiver<Call>,
+    calls: &mut mpsc::Receiver<Call>,
     driver: &Rc<Driver>,
 ) -> F::Output {
     let mut done = std::pin::pin!(done);
@@ -105,37 +123,49 @@
     }
 
     /// Serves calls until the connection ends or is of no further use.
-    async fn serve(&mut self, calls: &mut mpsc::UnboundedReceiver<Call>, driver: &Rc<Driver>) {
+    async fn serve(&mut self, calls: &mut mpsc::Receiver<Call>, driver: &Rc<Driver>) {
         loop {
-            let oldest = self.waiting.iter().find(|w| w.name.is_some()).map(|w| w.since + self.patience);
-            let silent = self.waiting.front().map(|w| w.since + SILENT);
-            let due = oldest.into_iter().chain(silent).min();
-            let far = Instant::now() + Duration::from_secs(3_600);
-            tokio::select! {
-                Some(call) = calls.recv() => self.add(call, driver),
-                ready = self.stream.readable() => {
-                    if ready.is_err() || self.read(driver).is_err() {
-                        return;
-                    }
-                }
-                ready = self.stream.writable(), if !self.outgoing.is_empty() => {
-                    if ready.is_err() {
-                        return;
-                    }
-                }
-                () = sleep_until(due.unwrap_or(far)), if due.is_some() => {
-                    self.expire(driver);
-                    if silent.is_some_and(|t| t <= Instant::now()) {
-                        return;
-                    }
+            let done = tokio::select! {
+                Some(call) = calls.recv() => {
+                    self.add(call, driver);
+                    self.write()
                 }
-            }
-            if self.write().is_err() {
+                done = self.step(driver) => done,
+            };
+            if done.is_err() {
                 return;
             }
         }
     }
 
+    /// Takes no new calls; those that are out may end.
+    async fn finish(mut self, driver: Rc<Driver>) {
+        while !self.waiting.is_empty() && self.step(&driver).await.is_ok() {}
+        self.give_up(&driver);
+    }
+
+    /// Waits for what comes next on the connection and does it.
+    async fn step(&mut self, driver: &Rc<Driver>) -> io::Result<()> {
+        let oldest = self.waiting.iter().find(|w| w.name.is_some()).map(|w| w.since + self.patience);
+        let silent = self.waiting.front().map(|w| w.since + SILENT);
+        let due = oldest.into_iter().chain(silent).min();
+        let far = Instant::now() + Duration::from_secs(3_600);
+        tokio::select! {
+            ready = self.stream.readable() => {
+                ready?;
+                self.read(driver)?;
+            }
+            ready = self.stream.writable(), if !self.outgoing.is_empty() => ready?,
+            () = sleep_until(due.unwrap_or(far)), if due.is_some() => {
+                self.expire(driver);
+                if silent.is_some_and(|t| t <= Instant::now()) {
+                    return Err(io::ErrorKind::TimedOut.into());
+                }
+            }
+        }
+        self.write()
+    }
+
     fn add(&mut self, call: Call, driver: &Rc<Driver>) {
         if self.waiting.len() >= MOST_OUT {
             return driver.counted(call.name, Status::TurnedAway, 0.0);
@@ -166,7 +196,10 @@
         loop {
             match self.stream.try_read(&mut chunk) {
                 Ok(0) => return Err(io::ErrorKind::UnexpectedEof.into()),
-                Ok(n) => self.incoming.extend_from_slice(&chunk[..n]),
+                Ok(n) => {
+                    self.heard = true;
+                    self.incoming.extend_from_slice(&chunk[..n]);
+                }
                 Err(e) if e.kind() == io::ErrorKind::WouldBlock => break,
                 Err(e) => return Err(e),
             }
@@ -174,7 +207,10 @@
                 let line: Vec<u8> = self.incoming.drain(..=end).collect();
                 self.answer(&line, driver)?;
             }
-            if self.incoming.len() > LINE_BYTES {
+            // Guards against noise without an end of line: others out behind it would wait in vain.
+            let part = &self.incoming[..];
+            let begins = |word: &&[u8]| word.starts_with(part) || part.starts_with(word);
+            if part.len() > LINE_BYTES || ![&b"ok "[..], b"busy", b"error"].iter().any(begins) {
                 return Err(io::ErrorKind::InvalidData.into());
             }
         }
@@ -191,7 +227,6 @@
             _ => return Err(io::ErrorKind::InvalidData.into()),
         };
         let waiting = self.waiting.pop_front().ok_or(io::ErrorKind::InvalidData)?;
-        self.heard = true;
         if let Some(name) = waiting.name {
             driver.counted(name, status, total);
         }
--- a/gateway/src/discovery.rs
+++ b/gateway/src/discovery.rs
@@ -1,5 +1,6 @@
 //! The list of servers: the form in which discovery tells it, and the loop that watches it.
 
+use crate::config::Addresses;
 use crate::driver::Driver;
 use crate::upstream::Conn;
 use bytes::Bytes;
@@ -11,6 +12,7 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
+use tokio::sync::watch;
 use tokio::time::{sleep, timeout};
 use turndeck::ListKind;
 
@@ -90,8 +92,21 @@
     }
 }
 
-/// Follows the list for good. An error or a silence keeps the last list; a broken watch goes on from its version.
-pub async fn watch(address: SocketAddr, driver: Rc<Driver>) {
+/// Follows the list for good, wherever discovery stands.
+pub async fn watch(mut addresses: watch::Receiver<Addresses>, driver: Rc<Driver>) {
+    loop {
+        let address = addresses.borrow_and_update().discovery;
+        tokio::select! {
+            () = follow(address, &driver) => {}
+            // The versions of the old one mean nothing at the new one: it begins with the whole list.
+            moved = addresses.wait_for(|now| now.discovery != address) => if moved.is_err() { return },
+        }
+    }
+}
+
+/// Follows the list of one discovery. An error or a silence keeps the last list; a broken watch goes on from its
+/// version.
+async fn follow(address: SocketAddr, driver: &Rc<Driver>) {
     let mut conn = None;
     let mut rev = None;
     let mut backoff = BACKOFF_LEAST;
--- a/gateway/src/driver.rs
+++ b/gateway/src/driver.rs
@@ -131,7 +131,7 @@
 pub struct Driver {
     inner: RefCell<Inner>,
     upstream: Rc<Upstream>,
-    counter: mpsc::UnboundedSender<Call>,
+    counter: mpsc::Sender<Call>,
     sooner: Notify,
     /// The clock: Unix time at the start, as servers' starts and the names of counts are told in it, then a
     /// monotonic span.
@@ -142,7 +142,7 @@
 }
 
 impl Driver {
-    pub fn new(gateway: Gateway, upstream: Rc<Upstream>, counter: mpsc::UnboundedSender<Call>) -> Self {
+    pub fn new(gateway: Gateway, upstream: Rc<Upstream>, counter: mpsc::Sender<Call>) -> Self {
         let unix = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
         Driver {
             inner: RefCell::new(Inner {
@@ -314,7 +314,12 @@
                 self.set(inner, Instant::now() + Duration::from_micros(after_us), Due::Timer(key));
             }
             Action::Count { name, amount, ttl_us } => {
-                let _ = self.counter.send(Call { name, amount, ttl_ms: (ttl_us / 1_000).max(1) });
+                let call = Call { name, amount, ttl_ms: (ttl_us / 1_000).max(1) };
+                if let Err(e) = self.counter.try_send(call) {
+                    // Too many wait: turned away before it was written, as the counter does with a long line.
+                    let name = e.into_inner().name;
+                    inner.events.push_back(Event::Counted { name, status: Status::TurnedAway, total: 0.0 });
+                }
             }
             Action::Log(line) => eprintln!("{line}"),
             // The list is watched in any case, and there are no messages between gateways.
--- a/gateway/src/main.rs
+++ b/gateway/src/main.rs
@@ -16,7 +16,7 @@
 use std::time::Duration;
 use tokio::net::TcpListener;
 use tokio::signal::unix::{signal, SignalKind};
-use tokio::sync::mpsc;
+use tokio::sync::{mpsc, watch};
 use tokio::task::{spawn_local, LocalSet};
 use tokio::time::{sleep, timeout};
 use turndeck::{Gateway, ListKind};
@@ -48,13 +48,14 @@
 
 async fn serve(config: Config) -> Result<(), String> {
     let gateway = Gateway::new(config.settings.clone(), config.seed).map_err(|e| e.to_string())?;
-    let mut terminate = signal(SignalKind::terminate()).map_err(|e| format!("no signals: {e}"))?;
+    let signals = |kind| signal(kind).map_err(|e| format!("no signals: {e}"));
+    let (mut terminate, mut hangup) = (signals(SignalKind::terminate())?, signals(SignalKind::hangup())?);
     let upstream = Rc::new(Upstream::new(Limits {
         connect_timeout: config.connect_timeout,
         idle: config.server_idle / 3,
         connections: config.sockets / 2,
     }));
-    let (calls, called) = mpsc::unbounded_channel();
+    let (calls, called) = mpsc::channel(counter::MOST_OUT);
     let driver = Rc::new(Driver::new(gateway, upstream.clone(), calls));
     driver.servers(ListKind::Persisted, config.known.targets);
     let listener = TcpListener::bind(config.listen).await.map_err(|e| format!("cannot listen: {e}"))?;
@@ -62,16 +63,23 @@
     eprintln!("{} listens on {address}", config.name);
     spawn_local(driver.clone().run_timers());
     spawn_local(upstream::sweep(upstream));
-    spawn_local(discovery::watch(config.discovery, driver.clone()));
-    if let Some(address) = config.counter {
-        spawn_local(counter::run(address, config.counter_timeout, called, driver.clone()));
-    }
+    let (moved, addresses) = watch::channel(config.addresses);
+    spawn_local(discovery::watch(addresses.clone(), driver.clone()));
+    spawn_local(counter::run(addresses, config.counter_timeout, called, driver.clone()));
     let longest = config.settings.classes.iter().map(|c| c.deadline_us).max().unwrap_or(0);
     let clients = config.sockets - config.sockets / 2 - OTHER_SOCKETS;
     let door = Door::new(driver, config.settings, clients);
     spawn_local(door.clone().accept(listener));
 
-    terminate.recv().await;
+    loop {
+        tokio::select! {
+            _ = terminate.recv() => break,
+            _ = hangup.recv() => match Config::from_env() {
+                Ok(config) => drop(moved.send_replace(config.addresses)),
+                Err(e) => eprintln!("{e}; the old one stays"),
+            },
+        }
+    }
     door.leave();
     sleep(STILL_COMING).await;
     let finish = async {
--- a/gateway/tests/common/mod.rs
+++ b/gateway/tests/common/mod.rs
@@ -308,6 +308,16 @@
     )
 }
 
+pub fn config_text(discovery: SocketAddr, counter: Option<SocketAddr>, gateways: u32, known: &str) -> String {
+    let counter = counter.map_or("null".to_string(), |c| format!("\"{c}\""));
+    format!(
+        r#"{{"name":"n0","listen":"127.0.0.1:0","discovery":"{discovery}","seed":"8c1f30d27a5be964",
+        "limits":{{"cores":1.0,"memory_mb":32,"sockets":256}},"counter":{counter},
+        "known":{{"rev":1,"all":true,"targets":[{known}]}},"settings":{}}}"#,
+        settings(gateways)
+    )
+}
+
 pub struct Gateway {
     child: Child,
     pub address: SocketAddr,
@@ -343,13 +353,11 @@
 
     /// A gateway that need not be ready yet; `known` are the servers that it knew before.
     pub fn start(discovery: SocketAddr, counter: Option<SocketAddr>, gateways: u32, known: &str) -> Gateway {
-        let counter = counter.map_or("null".to_string(), |c| format!("\"{c}\""));
-        let config = config_file(&format!(
-            r#"{{"name":"n0","listen":"127.0.0.1:0","discovery":"{discovery}","seed":"8c1f30d27a5be964",
-            "limits":{{"cores":1.0,"memory_mb":192,"sockets":256}},"counter":{counter},
-            "known":{{"rev":1,"all":true,"targets":[{known}]}},"settings":{}}}"#,
-            settings(gateways)
-        ));
+        Gateway::start_with(&config_text(discovery, counter, gateways, known))
+    }
+
+    pub fn start_with(text: &str) -> Gateway {
+        let config = config_file(text);
         let mut child = command(&config).spawn().expect("the gateway starts");
         let mut log = BufReader::new(child.stderr.take().expect("stderr"));
         let mut line = String::new();
@@ -381,11 +389,21 @@
         self.client().ask(&request.text()).expect("an answer")
     }
 
-    pub fn terminate(&self) {
-        let kill = Command::new("kill").arg("-TERM").arg(self.child.id().to_string()).status();
+    fn signal(&self, name: &str) {
+        let kill = Command::new("kill").arg(name).arg(self.child.id().to_string()).status();
         assert!(kill.expect("kill runs").success());
     }
 
+    pub fn terminate(&self) {
+        self.signal("-TERM");
+    }
+
+    /// Replaces the file of the configuration and says so.
+    pub fn configure(&self, text: &str) {
+        std::fs::write(&self.config, text).expect("the configuration is written");
+        self.signal("-HUP");
+    }
+
     pub fn wait(&mut self) -> ExitStatus {
         let since = Instant::now();
         loop {
