--- a/gateway/src/config.rs
+++ b/gateway/src/config.rs
@@ -15,6 +15,7 @@
     pub seed: u64,
     /// Descriptors that the process may hold.
     pub sockets: usize,
+    pub memory_mb: usize,
     pub known: ServerList,
     pub settings: Settings,
     pub connect_timeout: Duration,
@@ -69,6 +70,7 @@
 #[derive(Deserialize)]
 struct Limits {
     sockets: usize,
+    memory_mb: usize,
 }
 
 /// The settings that concern sockets only; the decisions have no use for them.
@@ -121,8 +123,8 @@
         settings.max_retry_after_us = sockets.limits.max_retry_after_us;
         settings.counter &= file.counter.is_some();
         let seed = u64::from_str_radix(&file.seed, 16).map_err(|_| ConfigError::Seed(file.seed))?;
-        if file.limits.sockets < 64 {
-            return Err(ConfigError::Settings("limits.sockets must be at least 64".into()));
+        if file.limits.sockets < 64 || file.limits.memory_mb < 16 {
+            return Err(ConfigError::Settings("limits must be 64 sockets and 16 MB at least".into()));
         }
         Ok(Config {
             name: file.name,
@@ -130,6 +132,7 @@
             addresses: Addresses { discovery: file.discovery, counter: file.counter },
             seed,
             sockets: file.limits.sockets,
+            memory_mb: file.limits.memory_mb,
             known: file.known,
             settings,
             connect_timeout: Duration::from_micros(sockets.limits.connect_timeout_us),
--- a/gateway/src/discovery.rs
+++ b/gateway/src/discovery.rs
@@ -3,11 +3,8 @@
 use crate::config::Addresses;
 use crate::driver::Driver;
 use crate::upstream::Conn;
-use bytes::Bytes;
-use http_body_util::Full;
-use hyper::header::HOST;
-use hyper::{Request, StatusCode};
 use serde::{Deserialize, Deserializer};
+use std::cell::Cell;
 use std::fmt;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -73,9 +70,7 @@
 enum CallError {
     Silent,
     Io(std::io::Error),
-    Http(hyper::Error),
-    Body,
-    Status(StatusCode),
+    Status(u16),
     Malformed(serde_json::Error),
 }
 
@@ -84,8 +79,6 @@
         match self {
             CallError::Silent => write!(f, "no answer"),
             CallError::Io(e) => write!(f, "{e}"),
-            CallError::Http(e) => write!(f, "{e}"),
-            CallError::Body => write!(f, "the list is cut short or too long"),
             CallError::Status(s) => write!(f, "status {s}"),
             CallError::Malformed(e) => write!(f, "malformed list: {e}"),
         }
@@ -139,22 +132,17 @@
         None => "/v1/endpoints".to_string(),
         Some(rev) => format!("/v1/endpoints?from={rev}&hold_ms={HOLD_MS}"),
     };
-    let open = match conn.take() {
+    let open = match conn.take().filter(Conn::quiet) {
         Some(open) => open,
         None => Conn::open(address).await.map_err(CallError::Io)?,
     };
-    let open = conn.insert(open);
-    let request = Request::get(path).header(HOST, address.to_string()).body(Full::<Bytes>::default());
-    let request = request.map_err(|_| CallError::Body)?;
-    open.ready().await.map_err(CallError::Http)?;
-    let response = open.send(request).await.map_err(CallError::Http)?;
-    let (head, body) = response.into_parts();
-    let body = open.collect(body, LIST_BYTES).await.ok_or(CallError::Body)?;
-    if !open.reusable() {
-        *conn = None;
+    let request = format!("GET {path} HTTP/1.1\r\nHost: {address}\r\n\r\n");
+    let answer = open.ask(request.as_bytes(), LIST_BYTES, &Cell::new(0)).await.map_err(CallError::Io)?;
+    if answer.reusable {
+        *conn = Some(open);
     }
-    if head.status != StatusCode::OK {
-        return Err(CallError::Status(head.status));
+    match answer.status {
+        200 => serde_json::from_slice(&answer.body).map_err(CallError::Malformed),
+        status => Err(CallError::Status(status)),
     }
-    serde_json::from_slice(&body).map_err(CallError::Malformed)
 }
--- a/gateway/src/driver.rs
+++ b/gateway/src/driver.rs
@@ -5,10 +5,6 @@
 use crate::discovery::{State, Target};
 use crate::upstream::{Ended, Upstream};
 use bytes::Bytes;
-use http_body_util::Full;
-use hyper::header::{HeaderName, HeaderValue, CONTENT_LENGTH, CONTENT_TYPE, HOST};
-use hyper::http::uri::PathAndQuery;
-use hyper::{Method, Request, StatusCode, Uri};
 use std::cell::{Cell, RefCell};
 use std::cmp::Reverse;
 use std::collections::hash_map::Entry;
@@ -20,10 +16,6 @@
 use tokio::time::{sleep_until, Instant};
 use turndeck::*;
 
-pub const TRACE_ID: HeaderName = HeaderName::from_static("x-trace-id");
-pub const EXPIRES_IN: HeaderName = HeaderName::from_static("x-expires-in");
-pub const IDEMPOTENCY_KEY: HeaderName = HeaderName::from_static("idempotency-key");
-
 /// What the decisions may use of a client's time ends this long before the client leaves: the way there and a late
 /// timer come off.
 const MARGIN: Duration = Duration::from_millis(12);
@@ -36,37 +28,16 @@
 
 /// What of a client's request goes on to a server.
 pub struct Forward {
-    pub method: Method,
-    pub path: PathAndQuery,
-    pub host: HeaderValue,
-    pub trace_id: HeaderValue,
-    pub idempotency_key: Option<HeaderValue>,
-    pub content_type: Option<HeaderValue>,
-    pub body: Bytes,
+    /// Its line and its headers, each with its end, but for the time that is left.
+    pub head: Vec<u8>,
+    pub body: Vec<u8>,
 }
 
 impl Forward {
-    /// The request as a server gets it, when the gateway will wait for `left`; and the length of its body.
-    fn request(&self, left: Duration) -> (Request<Full<Bytes>>, usize) {
-        let mut request = Request::new(Full::new(self.body.clone()));
-        *request.method_mut() = self.method.clone();
-        *request.uri_mut() = Uri::from(self.path.clone());
-        let headers = request.headers_mut();
-        headers.insert(HOST, self.host.clone());
-        headers.insert(TRACE_ID, self.trace_id.clone());
-        if let Ok(left) = HeaderValue::try_from(format!("{:.3}", left.as_secs_f64())) {
-            headers.insert(EXPIRES_IN, left);
-        }
-        if let Some(key) = &self.idempotency_key {
-            headers.insert(IDEMPOTENCY_KEY, key.clone());
-        }
-        if let Some(kind) = &self.content_type {
-            headers.insert(CONTENT_TYPE, kind.clone());
-        }
-        if self.method != Method::GET {
-            headers.insert(CONTENT_LENGTH, self.body.len().into());
-        }
-        (request, self.body.len())
+    /// The request as a server gets it, when the gateway will wait for `left`.
+    fn request(&self, left: Duration) -> Vec<u8> {
+        let left = format!("X-Expires-In: {:.3}\r\n\r\n", left.as_secs_f64());
+        [&self.head[..], left.as_bytes(), &self.body[..]].concat()
     }
 }
 
@@ -81,8 +52,13 @@
 /// The one final answer of a request.
 pub enum Answer {
     Served(Bytes),
-    Refused { retry_after: Duration },
-    Failed(StatusCode),
+    Refused {
+        retry_after: Duration,
+    },
+    /// By a server or on the way to it, or because there was no answer in time.
+    Failed {
+        timed_out: bool,
+    },
 }
 
 /// Why a request was not taken.
@@ -298,13 +274,7 @@
                 });
             }
             Action::Fail { request } => {
-                answer(inner, request, |timed_out| {
-                    Answer::Failed(if timed_out {
-                        StatusCode::GATEWAY_TIMEOUT
-                    } else {
-                        StatusCode::BAD_GATEWAY
-                    })
-                });
+                answer(inner, request, |timed_out| Answer::Failed { timed_out });
             }
             Action::SetTimer { after_us, timer } => {
                 let key = match timer {
@@ -382,7 +352,7 @@
             _ => None,
         };
         if let Some(sender) = sender {
-            let _ = sender.send(Answer::Failed(StatusCode::GATEWAY_TIMEOUT));
+            let _ = sender.send(Answer::Failed { timed_out: true });
             self.feed(Event::ClientGone(id));
             forget(&mut self.inner.borrow_mut(), id);
         }
--- a/gateway/src/main.rs
+++ b/gateway/src/main.rs
@@ -20,7 +20,7 @@
 use tokio::task::{spawn_local, LocalSet};
 use tokio::time::{sleep, timeout};
 use turndeck::{Gateway, ListKind};
-use upstream::{Limits, Upstream};
+use upstream::{Limits, Upstream, BODY_BYTES, HEAD_BYTES};
 
 /// After SIGTERM connections go on coming for up to 0.4 s.
 const STILL_COMING: Duration = Duration::from_millis(500);
@@ -28,6 +28,9 @@
 const LAST_ANSWERS: Duration = Duration::from_millis(50);
 /// Descriptors for the listener, discovery, the counter and the runtime.
 const OTHER_SOCKETS: usize = 16;
+/// What a client's connection may make the gateway hold at most: head and body of its request, both once more as they
+/// are sent on, and an answer.
+const CLIENT_BYTES: usize = 2 * (HEAD_BYTES + BODY_BYTES) + BODY_BYTES;
 
 fn main() -> ExitCode {
     match start() {
@@ -50,10 +53,15 @@
     let gateway = Gateway::new(config.settings.clone(), config.seed).map_err(|e| e.to_string())?;
     let signals = |kind| signal(kind).map_err(|e| format!("no signals: {e}"));
     let (mut terminate, mut hangup) = (signals(SignalKind::terminate())?, signals(SignalKind::hangup())?);
+    // Clients hold a third of the descriptors at most for requests, and each has one attempt out: the rest is for
+    // connections that are kept, and for clients that are none of ours.
+    let to_servers = config.sockets * 2 / 5;
+    let in_memory = config.memory_mb * 3 / 4 * 1_048_576 / CLIENT_BYTES;
+    let clients = (config.sockets - to_servers - OTHER_SOCKETS).min(in_memory);
     let upstream = Rc::new(Upstream::new(Limits {
         connect_timeout: config.connect_timeout,
         idle: config.server_idle / 3,
-        connections: config.sockets / 2,
+        connections: to_servers,
     }));
     let (calls, called) = mpsc::channel(counter::MOST_OUT);
     let driver = Rc::new(Driver::new(gateway, upstream.clone(), calls));
@@ -67,7 +75,6 @@
     spawn_local(discovery::watch(addresses.clone(), driver.clone()));
     spawn_local(counter::run(addresses, config.counter_timeout, called, driver.clone()));
     let longest = config.settings.classes.iter().map(|c| c.deadline_us).max().unwrap_or(0);
-    let clients = config.sockets - config.sockets / 2 - OTHER_SOCKETS;
     let door = Door::new(driver, config.settings, clients);
     spawn_local(door.clone().accept(listener));
 
--- a/gateway/src/server.rs
+++ b/gateway/src/server.rs
@@ -1,52 +1,78 @@
-//! The clients' side: reads and checks requests, and gives each its one answer.
-
-use crate::driver::{Answer, Arrival, Driver, Forward, NotTaken, EXPIRES_IN, IDEMPOTENCY_KEY, TRACE_ID};
-use crate::upstream::BODY_BYTES;
-use bytes::Bytes;
-use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
-use hyper::body::Incoming;
-use hyper::header::{HeaderMap, HeaderName, HeaderValue, CONNECTION, CONTENT_TYPE, HOST, RETRY_AFTER};
-use hyper::http::uri::PathAndQuery;
-use hyper::server::conn::http1;
-use hyper::service::service_fn;
-use hyper::{Method, Request, Response, StatusCode};
-use hyper_util::rt::{TokioIo, TokioTimer};
-use std::cell::Cell;
-use std::convert::Infallible;
+//! The clients' side: reads and checks requests, and gives each its one answer. Strict: what a client of ours never
+//! sends is an error and the end of its connection, before anything else hears of it.
+
+use crate::driver::{Answer, Arrival, Driver, Forward, NotTaken};
+use crate::upstream::{
+    content_length, header, peek, read_more, says_close, write_all, BODY_BYTES, HEADERS, HEAD_BYTES,
+};
+use httparse::{Header, Status as Parsed, EMPTY_HEADER};
+use socket2::SockRef;
+use std::cell::{Cell, RefCell};
+use std::collections::HashMap;
+use std::fmt::Write;
 use std::rc::Rc;
 use std::str::FromStr;
 use std::time::Duration;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::Notify;
-use tokio::time::{sleep, timeout_at, Instant};
+use tokio::time::{sleep, sleep_until, timeout, Instant};
 use turndeck::{CustomerId, Effect, RequestId, Settings};
 
-const QOS: HeaderName = HeaderName::from_static("x-qos");
-const TIER: HeaderName = HeaderName::from_static("x-tier");
-const API_KEY: HeaderName = HeaderName::from_static("x-api-key");
-const CALL_TERMS: HeaderName = HeaderName::from_static("x-call-terms");
-
-/// A head takes no longer than this to come in, nor a kept connection to be used again.
-const HEAD_TIMEOUT: Duration = Duration::from_secs(60);
+/// A request is whole this long after its first byte, the first of a connection this long after it was accepted:
+/// an error or a close is owed within 3 s.
+const WHOLE_WITHIN: Duration = Duration::from_secs(2);
+/// A connection that has served is kept open for so long without a request.
+const KEPT: Duration = Duration::from_secs(5);
+/// When descriptors run short a connection that has served may be closed after this...
+const KEPT_LEAST: Duration = Duration::from_secs(2);
+/// ...and one that has not asked yet after this: clients of ours ask as soon as they connect.
+const ASKS_WITHIN: Duration = Duration::from_millis(300);
+/// A client reads its answer within this.
+const READS_WITHIN: Duration = Duration::from_secs(2);
+/// After an error so much more is read, and for so long, that the client can read the answer: a connection that is
+/// closed on bytes that nobody has read is reset.
+const LINGER_BYTES: usize = 256 << 10;
+const LINGER: Duration = Duration::from_millis(200);
 /// No client waits this long.
 const MOST_PATIENCE_S: f64 = 3_600.0;
 
+/// Customers' names are numbers below this.
+const CUSTOMERS: u64 = 1 << 33;
+
+/// A connection on which no request is open.
+struct Idle {
+    since: Instant,
+    /// It has asked before.
+    kept: bool,
+    end: Rc<Notify>,
+}
+
 /// What the clients' connections share.
 pub struct Door {
     driver: Rc<Driver>,
     settings: Settings,
     leaving: Cell<bool>,
-    /// Tells open connections to end once idle.
-    close: Notify,
+    /// By number.
+    idle: RefCell<HashMap<u64, Idle>>,
     open: Cell<usize>,
     /// Connections held at most.
     most: usize,
 }
 
+/// One client's connection.
+struct Client {
+    stream: TcpStream,
+    number: u64,
+    /// What has been read and not yet used.
+    buffer: Vec<u8>,
+    /// It has asked before.
+    kept: bool,
+}
+
 impl Door {
     pub fn new(driver: Rc<Driver>, settings: Settings, most: usize) -> Rc<Self> {
         let (leaving, open) = (Cell::new(false), Cell::new(0));
-        Rc::new(Door { driver, settings, leaving, close: Notify::new(), open, most })
+        Rc::new(Door { driver, settings, leaving, idle: RefCell::default(), open, most })
     }
 
     /// From now on every answer closes its connection.
@@ -56,27 +82,38 @@
 
     /// Idle connections end now, the others after their answer.
     pub fn close(&self) {
-        self.close.notify_waiters();
+        self.idle.borrow().values().for_each(|i| i.end.notify_one());
     }
 
     pub fn open(&self) -> usize {
         self.open.get()
     }
 
+    /// Ends the connection that has been idle longest, if any has been for long enough.
+    fn make_room(&self) {
+        let now = Instant::now();
+        let idle = self.idle.borrow();
+        let may_end = |i: &&Idle| now - i.since >= if i.kept { KEPT_LEAST } else { ASKS_WITHIN };
+        if let Some(longest) = idle.values().filter(may_end).min_by_key(|i| i.since) {
+            longest.end.notify_one();
+        }
+    }
+
     /// Accepts connections for good.
     pub async fn accept(self: Rc<Self>, listener: TcpListener) {
-        loop {
+        for number in 0.. {
             // Guards against running out of descriptors: those that are idle make room.
             while self.open() >= self.most {
-                self.close();
-                sleep(Duration::from_millis(5)).await;
+                self.make_room();
+                sleep(Duration::from_millis(2)).await;
             }
             match listener.accept().await {
                 Ok((stream, _)) => {
                     let door = self.clone();
                     self.open.set(self.open.get() + 1);
                     tokio::task::spawn_local(async move {
-                        door.serve(stream).await;
+                        door.serve(Client { stream, number, buffer: Vec::new(), kept: false }).await;
+                        door.idle.borrow_mut().remove(&number);
                         door.open.set(door.open.get() - 1);
                     });
                 }
@@ -86,102 +123,148 @@
         }
     }
 
-    async fn serve(self: &Rc<Self>, stream: TcpStream) {
-        let _ = stream.set_nodelay(true);
-        let service = service_fn(|request| self.handle(request));
-        let connection = http1::Builder::new()
-            .timer(TokioTimer::new())
-            .header_read_timeout(HEAD_TIMEOUT)
-            .auto_date_header(false)
-            .serve_connection(TokioIo::new(stream), service);
-        let mut connection = std::pin::pin!(connection);
-        tokio::select! {
-            // A client's broken connection is its own affair.
-            _ = connection.as_mut() => return,
-            () = self.close.notified() => connection.as_mut().graceful_shutdown(),
+    async fn serve(self: &Rc<Self>, mut client: Client) {
+        let _ = client.stream.set_nodelay(true);
+        loop {
+            let asked = match self.read(&mut client).await {
+                Ok(Some(asked)) => asked,
+                Ok(None) => return,
+                Err(bad) => return client.turn_away(&bad).await,
+            };
+            client.kept = true;
+            let answer = match asked.arrival {
+                None => Reply::Ready(self.driver.ready() && !self.leaving.get()),
+                Some(arrival) => match self.answer(&mut client, *arrival).await {
+                    Ok(Some(answer)) => Reply::Answer(answer),
+                    // The client has gone.
+                    Ok(None) => return,
+                    Err(bad) => return client.turn_away(&bad).await,
+                },
+            };
+            let close = asked.close || self.leaving.get();
+            if !client.write(&answer.text(close)).await || close {
+                return;
+            }
         }
-        let _ = connection.await;
     }
 
-    async fn handle(
-        self: &Rc<Self>,
-        request: Request<Incoming>,
-    ) -> Result<Response<Full<Bytes>>, Infallible> {
-        let mut response = match self.answer(request).await {
-            Ok(response) => response,
-            Err(refusal) => plain(refusal.status(), refusal.text()),
-        };
-        if self.leaving.get() {
-            response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
-        }
-        Ok(response)
+    /// The next request, whole and checked; none if the connection is over. Until then the connection is idle.
+    async fn read(&self, client: &mut Client) -> Result<Option<Asked>, BadRequest> {
+        let (since, kept) = (Instant::now(), client.kept);
+        let end = Rc::new(Notify::new());
+        self.idle.borrow_mut().insert(client.number, Idle { since, kept, end: end.clone() });
+        let asked = self.read_idle(client, since, &end).await;
+        self.idle.borrow_mut().remove(&client.number);
+        asked
     }
 
-    async fn answer(
-        self: &Rc<Self>,
-        request: Request<Incoming>,
-    ) -> Result<Response<Full<Bytes>>, BadRequest> {
-        let received = Instant::now();
-        if request.uri().path() == "/ready" {
-            let serving = self.driver.ready() && !self.leaving.get();
-            return Ok(match serving {
-                true => plain(StatusCode::OK, "ready"),
-                false => plain(StatusCode::SERVICE_UNAVAILABLE, "not ready"),
-            });
+    async fn read_idle(
+        &self,
+        client: &mut Client,
+        since: Instant,
+        end: &Notify,
+    ) -> Result<Option<Asked>, BadRequest> {
+        let mut by = since + if client.kept { KEPT } else { WHOLE_WITHIN };
+        let mut head: Option<Head> = None;
+        let (mut begun, mut looked_at) = (false, 0);
+        loop {
+            let buffer = &mut client.buffer;
+            if !begun && !buffer.is_empty() {
+                begun = true;
+                if client.kept {
+                    // Idle no longer, for all that can be told.
+                    let now = Instant::now();
+                    by = now + WHOLE_WITHIN;
+                    self.idle.borrow_mut().entry(client.number).and_modify(|i| i.since = now);
+                }
+            }
+            if head.is_none() {
+                head = match ends_head(buffer, looked_at) {
+                    true => Some(self.head(buffer)?),
+                    false if buffer.len() > HEAD_BYTES => return Err(BadRequest::HeadTooLong),
+                    false => None,
+                };
+                looked_at = buffer.len();
+            }
+            if let Some(head) = head.take_if(|h| buffer.len() >= h.end + h.length) {
+                return Ok(Some(head.with_body(buffer)));
+            }
+            let over = || if begun { Err(BadRequest::Slow) } else { Ok(None) };
+            tokio::select! {
+                read = read_more(&client.stream, buffer) => if matches!(read, Ok(0) | Err(_)) {
+                    return Ok(None);
+                },
+                // What has come meanwhile is read first.
+                () = end.notified() => if !peek(&client.stream).is_ok_and(|n| n > 0) {
+                    return over();
+                },
+                () = sleep_until(by) => return over(),
+            }
         }
-        let arrival = self.read(request, received).await?;
-        let id = arrival.request.id;
-        let answer = self.driver.take(arrival).map_err(BadRequest::NotTaken)?;
-        let mut waiting = Waiting { driver: &self.driver, id: Some(id) };
-        let answer = answer.await;
-        waiting.id = None;
-        Ok(match answer {
-            Ok(Answer::Served(body)) => Response::new(Full::new(body)),
-            Ok(Answer::Refused { retry_after }) => refused(retry_after),
-            Ok(Answer::Failed(status)) => plain(status, "failed"),
-            Err(_) => plain(StatusCode::BAD_GATEWAY, "failed"),
-        })
     }
 
-    async fn read(&self, request: Request<Incoming>, received: Instant) -> Result<Arrival, BadRequest> {
-        let (head, body) = request.into_parts();
-        let h = &head.headers;
-        let path = head.uri.path_and_query().cloned().unwrap_or(PathAndQuery::from_static("/"));
-        let first = path.path().split('/').nth(1).unwrap_or("");
+    /// Reads and checks a whole head, before anything is kept for it.
+    fn head(&self, buffer: &[u8]) -> Result<Head, BadRequest> {
+        let received = Instant::now();
+        let mut headers = [EMPTY_HEADER; HEADERS];
+        let mut request = httparse::Request::new(&mut headers);
+        let end = match request.parse(buffer) {
+            Ok(Parsed::Complete(end)) => end,
+            // Guards against an end that is none: empty lines ahead of a head.
+            Ok(Parsed::Partial) | Err(_) => return Err(BadRequest::Malformed),
+        };
+        if end > HEAD_BYTES {
+            return Err(BadRequest::HeadTooLong);
+        }
+        let (method, path) = (request.method.unwrap_or(""), request.path.unwrap_or(""));
+        let h = &*request.headers;
+        // Guards against a request hidden in the body of another: where this one ends must be beyond doubt. Clients
+        // send a length, and once.
+        if header(h, "transfer-encoding").is_some() {
+            return Err(BadRequest::Header("Transfer-Encoding"));
+        }
+        let length = content_length(h).map_err(|()| BadRequest::Header("Content-Length"))?.unwrap_or(0);
+        if length > BODY_BYTES {
+            return Err(BadRequest::BodyTooLong);
+        }
+        let close = request.version != Some(1) || says_close(h);
+        if path == "/ready" && length == 0 {
+            return Ok(Head { end, length, close, arrival: None });
+        }
         let set = &self.settings;
-        let class = set.classes.iter().find(|c| c.name == first).ok_or(BadRequest::Path)?;
-        if text(h, &QOS)? != class.name {
-            return Err(BadRequest::Header(QOS));
+        let first = path.strip_prefix('/').and_then(|p| p.split(['/', '?']).next());
+        let class = set.classes.iter().find(|c| Some(&*c.name) == first).ok_or(BadRequest::Path)?;
+        if !path.bytes().all(|b| b.is_ascii_graphic()) {
+            return Err(BadRequest::Path);
+        }
+        if text(h, "X-Qos")? != class.name {
+            return Err(BadRequest::Header("X-Qos"));
         }
-        let method = if class.effect == Effect::Repeatable { Method::GET } else { Method::POST };
-        if head.method != method {
+        let safe = class.effect == Effect::Repeatable;
+        if method != if safe { "GET" } else { "POST" } {
             return Err(BadRequest::Method);
         }
-        let trace = text(h, &TRACE_ID)?;
-        let id = hex16(trace).ok_or(BadRequest::Header(TRACE_ID))?;
-        let customer = text(h, &API_KEY)?;
-        hex16(customer).ok_or(BadRequest::Header(API_KEY))?;
-        let plan = text(h, &TIER)?;
-        let plan = set.plans.iter().find(|p| p.name == plan).ok_or(BadRequest::Header(TIER))?;
-        let patience = text(h, &EXPIRES_IN)?.parse::<f64>().ok();
-        let patience =
-            patience.filter(|s| (0.0..=MOST_PATIENCE_S).contains(s)).ok_or(BadRequest::Header(EXPIRES_IN))?;
-        let terms = Terms::parse(text(h, &CALL_TERMS)?, set).ok_or(BadRequest::Header(CALL_TERMS))?;
-        if class.effect != Effect::Repeatable {
-            text(h, &IDEMPOTENCY_KEY)?;
+        if safe && length > 0 {
+            return Err(BadRequest::Header("Content-Length"));
         }
-        // Nobody waits past the class's deadline, whatever the header says: what is kept for a request is short-lived.
-        let patience = Duration::from_secs_f64(patience).min(Duration::from_micros(class.deadline_us));
-        let gone_at = received + patience;
-        let body = timeout_at(gone_at, Limited::new(body, BODY_BYTES).collect());
-        let body = match body.await {
-            Ok(Ok(body)) => body.to_bytes(),
-            Ok(Err(e)) if e.is::<LengthLimitError>() => return Err(BadRequest::TooLarge),
-            Ok(Err(_)) => return Err(BadRequest::Body),
-            Err(_) => return Err(BadRequest::Slow),
-        };
-        if method == Method::GET && !body.is_empty() {
-            return Err(BadRequest::Body);
+        let trace = text(h, "X-Trace-Id")?;
+        let id = hex16(trace).ok_or(BadRequest::Header("X-Trace-Id"))?;
+        let customer = text(h, "X-Api-Key")?;
+        hex16(customer).filter(|&c| c < CUSTOMERS).ok_or(BadRequest::Header("X-Api-Key"))?;
+        let plan = text(h, "X-Tier")?;
+        let plan = set.plans.iter().find(|p| p.name == plan).ok_or(BadRequest::Header("X-Tier"))?;
+        let patience = text(h, "X-Expires-In")?.parse::<f64>().ok();
+        let patience = patience.filter(|&s| s > 0.0 && s <= MOST_PATIENCE_S);
+        let patience = Duration::from_secs_f64(patience.ok_or(BadRequest::Header("X-Expires-In"))?);
+        let terms = Terms::parse(text(h, "X-Call-Terms")?, set).ok_or(BadRequest::Header("X-Call-Terms"))?;
+        let host = text(h, "Host").unwrap_or("backend.local");
+        let mut head = format!("{method} {path} HTTP/1.1\r\nHost: {host}\r\nX-Trace-Id: {trace}\r\n");
+        if !safe {
+            let key = text(h, "Idempotency-Key")?;
+            let _ = write!(head, "Idempotency-Key: {key}\r\nContent-Length: {length}\r\n");
+        }
+        if let Ok(kind) = text(h, "Content-Type") {
+            let _ = write!(head, "Content-Type: {kind}\r\n");
         }
         let request = turndeck::Request {
             id: RequestId(id),
@@ -193,19 +276,92 @@
             first_gateway: terms.first,
             patience_us: 0,
         };
-        let forward = Forward {
-            method,
-            path,
-            host: h.get(HOST).cloned().unwrap_or(HeaderValue::from_static("backend.local")),
-            trace_id: h[TRACE_ID].clone(),
-            idempotency_key: h.get(IDEMPOTENCY_KEY).cloned(),
-            content_type: h.get(CONTENT_TYPE).cloned(),
-            body,
+        // Nobody waits past the class's deadline, whatever the header says: what is kept for a request is short-lived.
+        let gone_at = received + patience.min(Duration::from_micros(class.deadline_us));
+        let forward = Forward { head: head.into(), body: Vec::new() };
+        Ok(Head { end, length, close, arrival: Some(Box::new(Arrival { request, gone_at, forward })) })
+    }
+
+    /// The answer to a request; none if its client goes first.
+    async fn answer(&self, client: &mut Client, arrival: Arrival) -> Result<Option<Answer>, BadRequest> {
+        let id = arrival.request.id;
+        let mut answer = self.driver.take(arrival).map_err(BadRequest::NotTaken)?;
+        let mut waiting = Waiting { driver: &self.driver, id: Some(id) };
+        let answer = loop {
+            tokio::select! {
+                biased;
+                answer = &mut answer => break answer,
+                read = read_more(&client.stream, &mut client.buffer), if client.buffer.len() < HEAD_BYTES => {
+                    if matches!(read, Ok(0) | Err(_)) {
+                        return Ok(None);
+                    }
+                }
+            }
+        };
+        waiting.id = None;
+        Ok(Some(answer.unwrap_or(Answer::Failed { timed_out: false })))
+    }
+}
+
+impl Client {
+    /// Whether all of it was written in time.
+    async fn write(&self, text: &[u8]) -> bool {
+        timeout(READS_WITHIN, write_all(&self.stream, text, &Cell::new(0))).await.is_ok_and(|w| w.is_ok())
+    }
+
+    /// Says what is wrong and ends the connection, so that nothing behind it is read as a request.
+    async fn turn_away(mut self, bad: &BadRequest) {
+        if !self.write(&response(bad.status(), "", true, bad.text().as_bytes())).await {
+            return;
+        }
+        let _ = SockRef::from(&self.stream).shutdown(std::net::Shutdown::Write);
+        let drain = async {
+            let mut drained = 0;
+            while drained < LINGER_BYTES {
+                self.buffer.clear();
+                match read_more(&self.stream, &mut self.buffer).await {
+                    Ok(0) | Err(_) => return,
+                    Ok(n) => drained += n,
+                }
+            }
         };
-        Ok(Arrival { request, gone_at, forward })
+        let _ = timeout(LINGER, drain).await;
+    }
+}
+
+/// A request that is whole and in order; with no arrival it asks whether the gateway is ready.
+struct Asked {
+    arrival: Option<Box<Arrival>>,
+    /// The client wants the connection to end.
+    close: bool,
+}
+
+/// A head that is in order, where it ends in the buffer and how long the body behind it is.
+struct Head {
+    end: usize,
+    length: usize,
+    close: bool,
+    arrival: Option<Box<Arrival>>,
+}
+
+impl Head {
+    /// Takes head and body off the buffer.
+    fn with_body(mut self, buffer: &mut Vec<u8>) -> Asked {
+        let behind = buffer.split_off(self.end + self.length);
+        if let Some(arrival) = &mut self.arrival {
+            arrival.forward.body = buffer.split_off(self.end);
+        }
+        *buffer = behind;
+        Asked { arrival: self.arrival, close: self.close }
     }
 }
 
+/// Whether an empty line ends a head there, of which all but what stands from `from` has been looked at.
+fn ends_head(buffer: &[u8], from: usize) -> bool {
+    let new = &buffer[from.saturating_sub(3)..];
+    new.windows(2).any(|w| w == b"\n\n") || new.windows(3).any(|w| w == b"\n\r\n")
+}
+
 /// Dropped before the answer: the client has gone.
 struct Waiting<'a> {
     driver: &'a Rc<Driver>,
@@ -227,7 +383,7 @@
 }
 
 impl Terms {
-    /// `units=2,spread=3,first=1`, each in its range.
+    /// `units=2,spread=3,first=1`, each once and in its range.
     fn parse(text: &str, set: &Settings) -> Option<Terms> {
         fn find<T: FromStr>(text: &str, name: &str) -> Option<T> {
             let mut parts = text.split(',').filter_map(|p| p.trim().split_once('='));
@@ -235,7 +391,8 @@
         }
         let terms =
             Terms { units: find(text, "units")?, spread: find(text, "spread")?, first: find(text, "first")? };
-        let fine = terms.units > 0.0
+        let fine = text.split(',').count() == 3
+            && terms.units > 0.0
             && terms.units <= set.most_units
             && (1..=set.gateways).contains(&terms.spread)
             && terms.first < set.gateways;
@@ -245,47 +402,51 @@
 
 /// What is wrong with a request that is turned away unread.
 enum BadRequest {
+    Malformed,
+    HeadTooLong,
     Path,
     Method,
-    Header(HeaderName),
-    Body,
-    TooLarge,
+    Header(&'static str),
+    BodyTooLong,
     Slow,
     NotTaken(NotTaken),
 }
 
 impl BadRequest {
-    fn status(&self) -> StatusCode {
+    fn status(&self) -> &'static str {
         match self {
-            BadRequest::Path => StatusCode::NOT_FOUND,
-            BadRequest::Method => StatusCode::METHOD_NOT_ALLOWED,
-            BadRequest::Header(_) | BadRequest::Body => StatusCode::BAD_REQUEST,
-            BadRequest::TooLarge => StatusCode::PAYLOAD_TOO_LARGE,
-            BadRequest::Slow => StatusCode::REQUEST_TIMEOUT,
-            BadRequest::NotTaken(NotTaken::Duplicate) => StatusCode::CONFLICT,
-            BadRequest::NotTaken(NotTaken::Full) => StatusCode::SERVICE_UNAVAILABLE,
+            BadRequest::Malformed | BadRequest::Header(_) => "400 Bad Request",
+            BadRequest::HeadTooLong => "431 Request Header Fields Too Large",
+            BadRequest::Path => "404 Not Found",
+            BadRequest::Method => "405 Method Not Allowed",
+            BadRequest::BodyTooLong => "413 Content Too Large",
+            BadRequest::Slow => "408 Request Timeout",
+            BadRequest::NotTaken(NotTaken::Duplicate) => "409 Conflict",
+            BadRequest::NotTaken(NotTaken::Full) => "503 Service Unavailable",
         }
     }
 
     fn text(&self) -> String {
         match self {
+            BadRequest::Malformed => "the request cannot be read".into(),
+            BadRequest::HeadTooLong => "the head is too long".into(),
             BadRequest::Path => "no such class".into(),
             BadRequest::Method => "not the class's method".into(),
             BadRequest::Header(name) => format!("{name} is missing or makes no sense"),
-            BadRequest::Body => "the body does not fit the request".into(),
-            BadRequest::TooLarge => "the body is too large".into(),
-            BadRequest::Slow => "the body came too late".into(),
+            BadRequest::BodyTooLong => "the body is too long".into(),
+            BadRequest::Slow => "the request came too slowly".into(),
             BadRequest::NotTaken(NotTaken::Duplicate) => "a request with this id is open".into(),
             BadRequest::NotTaken(NotTaken::Full) => "too many requests are held".into(),
         }
     }
 }
 
-/// A header that must be there once, as text.
-fn text<'a>(headers: &'a HeaderMap, name: &HeaderName) -> Result<&'a str, BadRequest> {
-    let mut all = headers.get_all(name).iter();
-    let value = all.next().and_then(|v| v.to_str().ok()).filter(|v| !v.is_empty());
-    value.filter(|_| all.next().is_none()).ok_or_else(|| BadRequest::Header(name.clone()))
+/// A header that must be there once, as text that can go on as it is.
+fn text<'a>(headers: &[Header<'a>], name: &'static str) -> Result<&'a str, BadRequest> {
+    let mut all = headers.iter().filter(|h| h.name.eq_ignore_ascii_case(name)).map(|h| h.value);
+    let plain = |v: &&[u8]| !v.is_empty() && v.iter().all(|b| (b' '..=b'~').contains(b));
+    let value = all.next().filter(plain).filter(|_| all.next().is_none());
+    value.and_then(|v| std::str::from_utf8(v).ok()).ok_or(BadRequest::Header(name))
 }
 
 fn hex16(text: &str) -> Option<u64> {
@@ -293,16 +454,33 @@
     digits.then(|| u64::from_str_radix(text, 16).ok()).flatten()
 }
 
-fn plain(status: StatusCode, text: impl Into<Bytes>) -> Response<Full<Bytes>> {
-    let mut response = Response::new(Full::new(text.into()));
-    *response.status_mut() = status;
-    response
+/// What a request that is in order gets.
+enum Reply {
+    Ready(bool),
+    Answer(Answer),
 }
 
-fn refused(retry_after: Duration) -> Response<Full<Bytes>> {
-    let mut response = plain(StatusCode::TOO_MANY_REQUESTS, "refused");
-    if let Ok(seconds) = HeaderValue::try_from(format!("{:.3}", retry_after.as_secs_f64())) {
-        response.headers_mut().insert(RETRY_AFTER, seconds);
+impl Reply {
+    fn text(&self, close: bool) -> Vec<u8> {
+        match self {
+            Reply::Ready(true) => response("200 OK", "", close, b"ready"),
+            Reply::Ready(false) => response("503 Service Unavailable", "", close, b"not ready"),
+            Reply::Answer(Answer::Served(body)) => response("200 OK", "", close, body),
+            Reply::Answer(Answer::Refused { retry_after }) => {
+                let when = format!("Retry-After: {:.3}\r\n", retry_after.as_secs_f64());
+                response("429 Too Many Requests", &when, close, b"refused")
+            }
+            Reply::Answer(Answer::Failed { timed_out: true }) => {
+                response("504 Gateway Timeout", "", close, b"failed")
+            }
+            Reply::Answer(Answer::Failed { .. }) => response("502 Bad Gateway", "", close, b"failed"),
+        }
     }
-    response
+}
+
+/// An answer as it is written; each of the `headers` has its end.
+fn response(status: &str, headers: &str, close: bool, body: &[u8]) -> Vec<u8> {
+    let close = if close { "Connection: close\r\n" } else { "" };
+    let head = format!("HTTP/1.1 {status}\r\n{headers}{close}Content-Length: {}\r\n\r\n", body.len());
+    [head.as_bytes(), body].concat()
 }
--- a/gateway/src/upstream.rs
+++ b/gateway/src/upstream.rs
@@ -1,23 +1,17 @@
-//! Attempts at servers, and the pool of connections that they use. A connection carries one request at a time, is
-//! driven by whoever uses it, and is closed as soon as it is dropped: nothing is ever sent again by itself.
+//! Attempts at servers, and the pool of connections that they use. A connection carries one request at a time and is
+//! closed as soon as it is dropped: nothing is ever sent again by itself. Nothing that a server sends is believed
+//! before it fits: an answer is whole, or it may have run and brought nothing.
 
 use crate::discovery::{State, Target};
 use bytes::Bytes;
-use http_body_util::{BodyExt, Full, Limited};
-use hyper::body::Incoming;
-use hyper::client::conn::http1::{self, SendRequest};
-use hyper::header::{HeaderMap, HeaderName};
-use hyper::rt::{Read, ReadBufCursor, Write};
-use hyper::{Request, Response, StatusCode};
-use hyper_util::rt::TokioIo;
+use httparse::{Header, Status as Parsed, EMPTY_HEADER};
+use socket2::SockRef;
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
-use std::future::{poll_fn, Future};
 use std::io;
+use std::mem::MaybeUninit;
 use std::net::SocketAddr;
-use std::pin::{pin, Pin};
 use std::rc::Rc;
-use std::task::{Context, Poll, Waker};
 use std::time::Duration;
 use tokio::net::TcpStream;
 use tokio::sync::Notify;
@@ -26,134 +20,275 @@
 
 /// Bodies hold at most this, in both directions.
 pub const BODY_BYTES: usize = 64 << 10;
+/// A head that is longer makes no sense, in either direction.
+pub const HEAD_BYTES: usize = 16 << 10;
+/// Nor does one with more headers.
+pub const HEADERS: usize = 64;
+/// Interim answers ahead of the final one at most.
+const INTERIM: usize = 16;
+/// Bytes that are read at once.
+const CHUNK: usize = 4 << 10;
+
+const LOAD: &str = "endpoint-load-metrics";
+const USED: &str = "x-ratelimit-used";
+const NEVER_RAN: &str = "x-never-ran";
+
+/// Reads what is there, once something is; 0 at the end of the connection.
+pub async fn read_more(stream: &TcpStream, into: &mut Vec<u8>) -> io::Result<usize> {
+    loop {
+        stream.readable().await?;
+        let mut chunk = [0; CHUNK];
+        match stream.try_read(&mut chunk) {
+            Err(e) if e.kind() == io::ErrorKind::WouldBlock => {}
+            Err(e) => return Err(e),
+            Ok(n) => {
+                into.extend_from_slice(&chunk[..n]);
+                return Ok(n);
+            }
+        }
+    }
+}
 
-const LOAD: HeaderName = HeaderName::from_static("endpoint-load-metrics");
-const USED: HeaderName = HeaderName::from_static("x-ratelimit-used");
-const NEVER_RAN: HeaderName = HeaderName::from_static("x-never-ran");
-
-/// The future that moves a connection's bytes.
-type Bearer = Pin<Box<http1::Connection<Counted<TokioIo<TcpStream>>, Full<Bytes>>>>;
-
-/// One connection of our own making, with the future that moves its bytes.
-pub struct Conn {
-    sender: SendRequest<Full<Bytes>>,
-    /// None once the connection is over. Guards against waiting for ever: only when it is dropped does `sender` know.
-    bytes: Option<Bearer>,
-    written: Rc<Cell<u64>>,
+/// Whether something can be read at once, by the socket itself: what the runtime knows of it may be of some time ago.
+pub fn peek(stream: &TcpStream) -> io::Result<usize> {
+    SockRef::from(stream).peek(&mut [MaybeUninit::uninit(); 1])
 }
 
-impl Conn {
-    pub async fn open(address: SocketAddr) -> io::Result<Conn> {
-        let stream = TcpStream::connect(address).await?;
-        stream.set_nodelay(true)?;
-        let written = Rc::new(Cell::new(0));
-        let io = Counted { io: TokioIo::new(stream), written: written.clone() };
-        let (sender, bytes) = http1::handshake(io).await.map_err(io::Error::other)?;
-        Ok(Conn { sender, bytes: Some(Box::pin(bytes)), written })
+/// Writes all of it; `written` tells how far it came, whatever happens.
+pub async fn write_all(stream: &TcpStream, bytes: &[u8], written: &Cell<usize>) -> io::Result<()> {
+    while written.get() < bytes.len() {
+        stream.writable().await?;
+        match stream.try_write(&bytes[written.get()..]) {
+            Err(e) if e.kind() == io::ErrorKind::WouldBlock => {}
+            Err(e) => return Err(e),
+            Ok(n) => written.set(written.get() + n),
+        }
     }
+    Ok(())
+}
 
-    /// Ends with an error if the other side has closed it meanwhile, or sent what nobody asked for.
-    pub async fn ready(&mut self) -> hyper::Result<()> {
-        drive(&mut self.bytes, self.sender.ready()).await
+/// The length that a message's headers give its body; an error where they give none that can be believed.
+pub fn content_length(headers: &[Header<'_>]) -> Result<Option<usize>, ()> {
+    let mut all = headers.iter().filter(|h| h.name.eq_ignore_ascii_case("content-length"));
+    match (all.next(), all.next()) {
+        (None, _) => Ok(None),
+        (Some(h), None) if !h.value.is_empty() && h.value.iter().all(u8::is_ascii_digit) => {
+            // More digits than fit are a length all the same, and too long for anything here.
+            Ok(Some(std::str::from_utf8(h.value).map_err(drop)?.parse().unwrap_or(usize::MAX)))
+        }
+        _ => Err(()),
     }
+}
 
-    pub async fn send(&mut self, request: Request<Full<Bytes>>) -> hyper::Result<Response<Incoming>> {
-        let response = self.sender.send_request(request);
-        drive(&mut self.bytes, response).await
-    }
+pub fn header<'a>(headers: &[Header<'a>], name: &str) -> Option<&'a str> {
+    let h = headers.iter().find(|h| h.name.eq_ignore_ascii_case(name))?;
+    std::str::from_utf8(h.value).ok()
+}
 
-    /// The whole body, or nothing if it is cut short or longer than `most`.
-    pub async fn collect(&mut self, body: Incoming, most: usize) -> Option<Bytes> {
-        let whole = Limited::new(body, most).collect();
-        let whole = drive(&mut self.bytes, whole).await;
-        whole.ok().map(|body| body.to_bytes())
-    }
+/// A whole answer.
+#[derive(Default)]
+pub struct Answer {
+    pub status: u16,
+    pub body: Bytes,
+    never_ran: bool,
+    metered_use: Option<f64>,
+    report: Vec<(Load, f64)>,
+    /// Nothing stands behind it, and its connection stays open.
+    pub reusable: bool,
+}
 
-    /// Whether another request may go over it, as far as is known without waiting.
-    pub fn reusable(&mut self) -> bool {
-        let mut cx = Context::from_waker(Waker::noop());
-        step(&mut self.bytes, &mut cx);
-        self.bytes.is_some() && !self.sender.is_closed()
-    }
+enum Head {
+    Interim,
+    Final(Answer, Framing),
 }
 
-/// Moves bytes as far as can be done without waiting.
-fn step(bytes: &mut Option<Bearer>, cx: &mut Context<'_>) {
-    if bytes.as_mut().is_some_and(|b| b.as_mut().poll(cx).is_ready()) {
-        *bytes = None;
-    }
+enum Framing {
+    Length(usize),
+    Chunked,
 }
 
-/// Moves bytes until `what` is there.
-async fn drive<F: Future>(bytes: &mut Option<Bearer>, what: F) -> F::Output {
-    let mut what = pin!(what);
-    poll_fn(|cx| {
-        step(bytes, cx);
-        what.as_mut().poll(cx)
-    })
-    .await
+fn spoilt(what: &'static str) -> io::Error {
+    io::Error::new(io::ErrorKind::InvalidData, what)
 }
 
-/// Counts what is written, to tell a request that never left whole from one that may have run.
-struct Counted<T> {
-    io: T,
-    written: Rc<Cell<u64>>,
+/// One connection of our own making.
+pub struct Conn {
+    stream: TcpStream,
 }
 
-impl<T> Counted<T> {
-    fn add(&self, result: &Poll<io::Result<usize>>) {
-        if let Poll::Ready(Ok(n)) = result {
-            self.written.set(self.written.get() + *n as u64);
-        }
+impl Conn {
+    pub async fn open(address: SocketAddr) -> io::Result<Conn> {
+        let stream = TcpStream::connect(address).await?;
+        stream.set_nodelay(true)?;
+        Ok(Conn { stream })
     }
-}
 
-impl<T: Read + Unpin> Read for Counted<T> {
-    fn poll_read(
-        mut self: Pin<&mut Self>,
-        cx: &mut Context<'_>,
-        buf: ReadBufCursor<'_>,
-    ) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.io).poll_read(cx, buf)
+    /// Whether another request may go over it: it is open and nothing has come that nobody asked for.
+    pub fn quiet(&self) -> bool {
+        peek(&self.stream).is_err_and(|e| e.kind() == io::ErrorKind::WouldBlock)
     }
-}
 
-impl<T: Write + Unpin> Write for Counted<T> {
-    fn poll_write(mut self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &[u8]) -> Poll<io::Result<usize>> {
-        let result = Pin::new(&mut self.io).poll_write(cx, buf);
-        self.add(&result);
-        result
+    /// Sends a request and reads its answer, whose body holds `most` bytes at most. `written` tells what has left.
+    pub async fn ask(&self, request: &[u8], most: usize, written: &Cell<usize>) -> io::Result<Answer> {
+        write_all(&self.stream, request, written).await?;
+        let mut buffer = Vec::new();
+        let (mut answer, framing) = self.head(&mut buffer).await?;
+        match framing {
+            Framing::Length(length) if length > most => return Err(spoilt("too long")),
+            Framing::Length(length) => {
+                buffer.reserve_exact(length.saturating_sub(buffer.len()));
+                while buffer.len() < length {
+                    self.more(&mut buffer).await?;
+                }
+                let behind = buffer.split_off(length);
+                answer.body = buffer.into();
+                // Guards against a length that is too short: what belongs to the body would stand behind it. Only
+                // the beginning of another answer is known to be no part of this one.
+                if !begins_answer(&behind) {
+                    return Err(spoilt("longer than it says"));
+                }
+                answer.reusable &= behind.is_empty();
+            }
+            Framing::Chunked => {
+                let (body, end) = self.chunks(&mut buffer, most).await?;
+                answer.body = body.into();
+                answer.reusable &= buffer.len() == end;
+            }
+        }
+        Ok(answer)
     }
 
-    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.io).poll_flush(cx)
+    async fn more(&self, buffer: &mut Vec<u8>) -> io::Result<()> {
+        match read_more(&self.stream, buffer).await? {
+            0 => Err(io::ErrorKind::UnexpectedEof.into()),
+            _ => Ok(()),
+        }
     }
 
-    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.io).poll_shutdown(cx)
+    /// Takes the final answer's head off the buffer; interim answers ahead of it are skipped.
+    async fn head(&self, buffer: &mut Vec<u8>) -> io::Result<(Answer, Framing)> {
+        let mut interim = 0;
+        loop {
+            match parse_head(buffer)? {
+                Some((_, end)) if interim > INTERIM || end > HEAD_BYTES => {
+                    return Err(spoilt("no end of heads"))
+                }
+                Some((Head::Final(answer, framing), end)) => {
+                    buffer.drain(..end);
+                    return Ok((answer, framing));
+                }
+                Some((Head::Interim, end)) => {
+                    buffer.drain(..end);
+                    interim += 1;
+                }
+                None if buffer.len() > HEAD_BYTES => return Err(spoilt("a head without end")),
+                None => self.more(buffer).await?,
+            }
+        }
     }
 
-    fn is_write_vectored(&self) -> bool {
-        self.io.is_write_vectored()
+    /// The body that stands in chunks from the start of the buffer, and where it ends there.
+    async fn chunks(&self, buffer: &mut Vec<u8>, most: usize) -> io::Result<(Vec<u8>, usize)> {
+        let (mut body, mut at) = (Vec::new(), 0);
+        loop {
+            // Guards against chunks of next to nothing with much around them.
+            if at > 4 * most {
+                return Err(spoilt("too much around its chunks"));
+            }
+            match httparse::parse_chunk_size(&buffer[at..]).map_err(|_| spoilt("a chunk's size"))? {
+                Parsed::Complete((start, size)) => {
+                    let size = usize::try_from(size).unwrap_or(usize::MAX);
+                    if size > most - body.len() {
+                        return Err(spoilt("too long"));
+                    }
+                    let (from, to) = (at + start, at + start + size);
+                    while buffer.len() < to + 2 {
+                        self.more(buffer).await?;
+                    }
+                    if &buffer[to..to + 2] != b"\r\n" {
+                        // A trailer, or a size that does not fit: nobody here sends either.
+                        return Err(spoilt("a chunk's end"));
+                    }
+                    body.extend_from_slice(&buffer[from..to]);
+                    at = to + 2;
+                    if size == 0 {
+                        return Ok((body, at));
+                    }
+                }
+                Parsed::Partial if buffer.len() - at > CHUNK => return Err(spoilt("a chunk's size")),
+                Parsed::Partial => self.more(buffer).await?,
+            }
+        }
     }
+}
 
-    fn poll_write_vectored(
-        mut self: Pin<&mut Self>,
-        cx: &mut Context<'_>,
-        bufs: &[io::IoSlice<'_>],
-    ) -> Poll<io::Result<usize>> {
-        let result = Pin::new(&mut self.io).poll_write_vectored(cx, bufs);
-        self.add(&result);
-        result
+/// Nothing, or the beginning of an answer.
+fn begins_answer(bytes: &[u8]) -> bool {
+    let start = b"HTTP/1.";
+    start.starts_with(bytes) || bytes.starts_with(start)
+}
+
+/// A head and where it ends; none while it is not whole.
+fn parse_head(buffer: &[u8]) -> io::Result<Option<(Head, usize)>> {
+    let mut headers = [EMPTY_HEADER; HEADERS];
+    let mut head = httparse::Response::new(&mut headers);
+    let end = match head.parse(buffer).map_err(|_| spoilt("its head"))? {
+        Parsed::Complete(end) => end,
+        Parsed::Partial => return Ok(None),
+    };
+    let status = head.code.unwrap_or(0);
+    if (100..200).contains(&status) && status != 101 {
+        return Ok(Some((Head::Interim, end)));
     }
+    let h = &*head.headers;
+    let codings: Vec<&str> = h
+        .iter()
+        .filter(|h| h.name.eq_ignore_ascii_case("transfer-encoding"))
+        .map(|h| std::str::from_utf8(h.value).unwrap_or(""))
+        .collect();
+    let length = content_length(h).map_err(|()| spoilt("its length"))?;
+    let framing = match (length, &codings[..]) {
+        (Some(length), []) => Framing::Length(length),
+        (None, []) if status == 204 || status == 304 => Framing::Length(0),
+        (None, [coding]) if coding.trim().eq_ignore_ascii_case("chunked") => Framing::Chunked,
+        // Neither or both: where it ends cannot be known.
+        _ => return Err(spoilt("its framing")),
+    };
+    let answer = Answer {
+        status,
+        body: Bytes::new(),
+        never_ran: header(h, NEVER_RAN) == Some("1"),
+        metered_use: header(h, USED).and_then(figure).map(|percent| percent / 100.0),
+        report: header(h, LOAD).map_or_else(Vec::new, report),
+        reusable: head.version == Some(1) && !says_close(h),
+    };
+    Ok(Some((Head::Final(answer, framing), end)))
 }
 
-/// Bytes of a request as it is written: all its headers are our own, so that none is added on the way.
-fn wire_bytes(request: &Request<Full<Bytes>>, body: usize) -> u64 {
-    let line =
-        request.method().as_str().len() + request.uri().path_and_query().map_or(1, |p| p.as_str().len());
-    let headers: usize = request.headers().iter().map(|(n, v)| n.as_str().len() + v.len() + 4).sum();
-    (line + "  HTTP/1.1\r\n\r\n".len() + headers + body) as u64
+/// Whether a side says that it will close the connection.
+pub fn says_close(headers: &[Header<'_>]) -> bool {
+    let said = header(headers, "connection").unwrap_or("");
+    said.split(',').any(|s| s.trim().eq_ignore_ascii_case("close"))
+}
+
+fn figure(text: &str) -> Option<f64> {
+    let value: f64 = text.trim().parse().ok()?;
+    (value.is_finite() && value >= 0.0).then_some(value)
+}
+
+/// `TEXT inflight=7, latency_ms=12.5`; what is not a figure of ours is skipped.
+fn report(text: &str) -> Vec<(Load, f64)> {
+    let one = |part: &str| {
+        let (name, value) = part.split_once('=')?;
+        let load = match name.trim() {
+            "inflight" => Load::Inflight,
+            "queue" => Load::Queue,
+            "latency_ms" => Load::ServiceMs,
+            _ => return None,
+        };
+        Some((load, figure(value)?))
+    };
+    text.strip_prefix("TEXT ").map_or_else(Vec::new, |t| t.split(',').filter_map(one).collect())
 }
 
 /// How an attempt ended, and what its answer told.
@@ -249,17 +384,17 @@
         Some((s.address, s.gone.clone()))
     }
 
-    /// The idle connection used last: the others can age and be retired.
+    /// The idle connection used last that can be used again: the others can age and be retired.
     fn take(&self, server: &ServerId) -> Option<(Conn, Slot)> {
         let mut servers = self.servers.borrow_mut();
-        let idle = servers.get_mut(server)?.idle.pop()?;
-        Some((idle.conn, idle.slot))
+        let idle = &mut servers.get_mut(server)?.idle;
+        std::iter::from_fn(|| idle.pop()).find(|i| i.conn.quiet()).map(|i| (i.conn, i.slot))
     }
 
-    fn put_back(&self, server: &ServerId, address: SocketAddr, mut conn: Conn, slot: Slot) {
+    fn put_back(&self, server: &ServerId, address: SocketAddr, conn: Conn, slot: Slot) {
         let mut servers = self.servers.borrow_mut();
         let home = servers.get_mut(server).filter(|s| s.ready && s.address == address);
-        if let Some(home) = home.filter(|_| conn.reusable()) {
+        if let Some(home) = home.filter(|_| conn.quiet()) {
             home.idle.push(Idle { conn, since: Instant::now(), slot });
         }
     }
@@ -268,7 +403,7 @@
     pub fn sweep(&self) {
         let now = Instant::now();
         for s in self.servers.borrow_mut().values_mut() {
-            s.idle.retain_mut(|i| now.duration_since(i.since) < self.limits.idle && i.conn.reusable());
+            s.idle.retain(|i| now.duration_since(i.since) < self.limits.idle && i.conn.quiet());
         }
     }
 
@@ -288,95 +423,57 @@
     pub async fn attempt(
         &self,
         server: &ServerId,
-        build: impl FnOnce(Duration) -> (Request<Full<Bytes>>, usize),
+        build: impl FnOnce(Duration) -> Vec<u8>,
         deadline: Instant,
     ) -> Ended {
         let never = Ended::without_answer(Status::NoConnection);
         let Some((address, gone)) = self.wanted(server) else { return never };
         let connection = timeout_at(deadline, self.connection(server, address));
-        let Ok(Some((mut conn, slot))) = connection.await else { return never };
+        let Ok(Some((conn, slot))) = connection.await else { return never };
         // While it connected the server may have begun to drain, or moved: nothing new goes there.
         if self.wanted(server).is_none_or(|(now, _)| now != address) {
             return never;
         }
-        let before = conn.written.get();
-        let (request, body) = build(deadline.saturating_duration_since(Instant::now()));
-        let size = wire_bytes(&request, body);
-        let exchange = async {
-            let (head, body) = conn.send(request).await.ok()?.into_parts();
-            Some((head, conn.collect(body, BODY_BYTES).await?))
-        };
+        let request = build(deadline.saturating_duration_since(Instant::now()));
+        let written = Cell::new(0);
         let answer = tokio::select! {
-            answer = timeout_at(deadline, exchange) => answer,
-            () = gone.notified() => Ok(None),
+            answer = timeout_at(deadline, conn.ask(&request, BODY_BYTES, &written)) => answer,
+            () = gone.notified() => Ok(Err(io::ErrorKind::ConnectionAborted.into())),
         };
         match answer {
-            Ok(Some((head, body))) => {
-                let ended = Ended {
-                    status: status(head.status, &head.headers),
-                    body,
-                    metered_use: number(&head.headers, &USED).map(|percent| percent / 100.0),
-                    report: report(&head.headers),
-                };
-                self.put_back(server, address, conn, slot);
-                ended
+            Ok(Ok(answer)) => {
+                let status = status(&answer);
+                if answer.reusable {
+                    self.put_back(server, address, conn, slot);
+                }
+                Ended { status, body: answer.body, metered_use: answer.metered_use, report: answer.report }
             }
             // Not written whole: it never began. Else it may have run, or may yet.
-            _ if conn.written.get() - before < size => never,
-            Ok(None) => Ended::without_answer(Status::ConnectionLost),
+            _ if written.get() < request.len() => never,
+            Ok(Err(_)) => Ended::without_answer(Status::ConnectionLost),
             Err(_) => Ended::without_answer(Status::NoAnswer),
         }
     }
 
     /// A connection on which nothing is out.
     async fn connection(&self, server: &ServerId, address: SocketAddr) -> Option<(Conn, Slot)> {
-        while let Some((mut conn, slot)) = self.take(server) {
-            if conn.ready().await.is_ok() {
-                return Some((conn, slot));
-            }
+        if let Some(idle) = self.take(server) {
+            return Some(idle);
         }
         let slot = self.slot()?;
-        let open = async {
-            let mut conn = Conn::open(address).await.ok()?;
-            conn.ready().await.ok()?;
-            Some(conn)
-        };
-        let conn = timeout(self.limits.connect_timeout, open).await.ok()??;
+        let conn = timeout(self.limits.connect_timeout, Conn::open(address)).await.ok()?.ok()?;
         Some((conn, slot))
     }
 }
 
-fn status(code: StatusCode, headers: &HeaderMap) -> Status {
-    let never_ran = headers.get(&NEVER_RAN).is_some_and(|v| v == "1");
-    match code {
-        StatusCode::OK => Status::Served,
-        StatusCode::SERVICE_UNAVAILABLE | StatusCode::GATEWAY_TIMEOUT if never_ran => Status::TurnedAway,
+fn status(answer: &Answer) -> Status {
+    match answer.status {
+        200 => Status::Served,
+        503 | 504 if answer.never_ran => Status::TurnedAway,
         _ => Status::ServerError,
     }
 }
 
-fn number(headers: &HeaderMap, name: &HeaderName) -> Option<f64> {
-    let value: f64 = headers.get(name)?.to_str().ok()?.trim().parse().ok()?;
-    (value.is_finite() && value >= 0.0).then_some(value)
-}
-
-/// `TEXT inflight=7, latency_ms=12.5`; what is not a figure of ours is skipped.
-fn report(headers: &HeaderMap) -> Vec<(Load, f64)> {
-    let text = headers.get(&LOAD).and_then(|v| v.to_str().ok()).and_then(|t| t.strip_prefix("TEXT "));
-    let figure = |part: &str| {
-        let (name, value) = part.split_once('=')?;
-        let load = match name.trim() {
-            "inflight" => Load::Inflight,
-            "queue" => Load::Queue,
-            "latency_ms" => Load::ServiceMs,
-            _ => return None,
-        };
-        let value: f64 = value.trim().parse().ok()?;
-        (value.is_finite() && value >= 0.0).then_some((load, value))
-    };
-    text.map_or_else(Vec::new, |t| t.split(',').filter_map(figure).collect())
-}
-
 /// Sweeps the pool for good.
 pub async fn sweep(upstream: Rc<Upstream>) {
     loop {
--- a/gateway/tests/common/mod.rs
+++ b/gateway/tests/common/mod.rs
@@ -57,6 +57,8 @@
 pub enum Reply {
     /// These bytes, then the next request.
     Bytes(String),
+    /// These bytes, then, a little later, these.
+    Twice(String, String),
     /// These bytes, then, a little later, the end of the connection.
     Last(String),
     /// Nothing, for as long as the gateway stays.
@@ -141,6 +143,11 @@
             Reply::Bytes(bytes) => {
                 let _ = write.write_all(bytes.as_bytes());
             }
+            Reply::Twice(bytes, more) => {
+                let _ = write.write_all(bytes.as_bytes());
+                thread::sleep(Duration::from_millis(2));
+                let _ = write.write_all(more.as_bytes());
+            }
             Reply::Last(bytes) => {
                 let _ = write.write_all(bytes.as_bytes());
                 thread::sleep(Duration::from_millis(30));
--- a/gateway/tests/outcomes.rs
+++ b/gateway/tests/outcomes.rs
@@ -155,3 +155,91 @@
         assert_eq!(gateway.ask(&ask).body, ask.header("X-Trace-Id"));
     }
 }
+
+/// Answers that cannot be believed, whatever their first line says; the connection stays open behind them.
+const SPOILT: [&str; 14] = [
+    "HTTP/1.1 200 OK\r\n\r\nfirst",
+    "HTTP/1.1 200 OK\r\nContent-Length: 5\r\nContent-Length: 4\r\n\r\nfirst",
+    "HTTP/1.1 200 OK\r\nContent-Length: 5\r\nContent-Length: 5\r\n\r\nfirst",
+    "HTTP/1.1 200 OK\r\nContent-Length: 5\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nfirst\r\n0\r\n\r\n",
+    "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\nContent-Length: 5\r\n\r\n5\r\nfirst\r\n0\r\n\r\n",
+    "HTTP/1.1 200 OK\r\nTransfer-Encoding: gzip, chunked\r\n\r\n5\r\nfirst\r\n0\r\n\r\n",
+    "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nfirst\r\n0\r\n\r\n",
+    "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nffffffffffffffffff\r\nfirst\r\n0\r\n\r\n",
+    "HTTP/1.1 200 OK\r\nContent-Length: -5\r\n\r\nfirst",
+    "HTTP/1.1 200 OK\r\nContent-Length: +5\r\n\r\nfirst",
+    "HTTP/1.1 200 OK\r\nContent-Length: 3221225472\r\n\r\nfirst",
+    "HTTP/1.1 200 OK\r\nContent-Length: 99999999999999999999999\r\n\r\nfirst",
+    "HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nfirst",
+    "HTTP/1.1 503 Service Unavailable\r\nX-Never-Ran: 1\r\n\r\n",
+];
+
+/// Guards against serving what is not whole, and against taking it for proof that nothing ran: a keyed request that
+/// has met it goes to no other cell.
+#[test]
+fn a_spoilt_answer_is_served_to_nobody_and_proves_nothing() {
+    for text in SPOILT {
+        let server = Server::new(move |_| Reply::Bytes(text.into()));
+        let other = Server::new(|_| ok("other"));
+        let entries =
+            [target("a", server.address, 0, "Ready"), target("b", other.address, 1, "Ready")].join(",");
+        let gateway = Gateway::alone(&Discovery::new(&entries));
+        let (mut spoilt, mut served) = (0, 0);
+        while spoilt == 0 || served == 0 {
+            let answer = gateway.ask(&Ask::top_up());
+            if server.requests_so_far() == 0 {
+                assert_eq!(answer.body, "other");
+                served += 1;
+            } else {
+                assert!(failed(&answer), "{text:?}: {answer:?}");
+                spoilt += 1;
+            }
+        }
+    }
+}
+
+/// Guards against an answer without end, in its head or behind it: it is cut, and its connection is closed.
+#[test]
+fn an_answer_without_end_is_cut() {
+    for start in ["HTTP/1.1 200 OK\r\n", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"] {
+        let more = if start.contains("chunked") { "1\r\nx\r\n" } else { "X-More: more\r\n" };
+        let text = start.to_string() + &more.repeat(60_000);
+        let server = Server::new(move |_| Reply::Bytes(text.clone()));
+        let gateway = Gateway::alone(&Discovery::new(&target("a", server.address, 0, "Ready")));
+        assert!(failed(&gateway.ask(&Ask::top_up().with("X-Expires-In", "6.0"))));
+        server.closed();
+    }
+}
+
+#[test]
+fn interim_answers_and_chunks_are_read() {
+    for text in [
+        "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\nLink: </x>\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nfine",
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1;x=y\r\nf\r\n3\r\nine\r\n0\r\n\r\n",
+    ] {
+        let server = Server::new(move |_| Reply::Bytes(text.into()));
+        let gateway = Gateway::alone(&Discovery::new(&target("a", server.address, 0, "Ready")));
+        for _ in 0..3 {
+            assert_eq!(gateway.ask(&Ask::check()).body, "fine");
+        }
+        // All on one connection.
+        assert_eq!(server.so_far().iter().filter(|s| matches!(s, Seen::Connected)).count(), 1);
+    }
+}
+
+/// Guards against what comes behind a good answer only when it has been taken: the runtime may not know of it yet.
+#[test]
+fn noise_behind_an_answer_spoils_no_other() {
+    let server = Server::new(|m| {
+        let id = m.header("X-Trace-Id").unwrap_or("");
+        Reply::Twice(format!("HTTP/1.1 200 OK\r\nContent-Length: 16\r\n\r\n{id}"), "\u{1}\u{2}\u{3}".into())
+    });
+    let gateway = Gateway::alone(&Discovery::new(&target("a", server.address, 0, "Ready")));
+    let mut client = gateway.client();
+    for _ in 0..10 {
+        // It has come before the next request does.
+        std::thread::sleep(std::time::Duration::from_millis(50));
+        let ask = Ask::top_up();
+        assert_eq!(client.ask(&ask.text()).expect("an answer").body, ask.header("X-Trace-Id"));
+    }
+}
