Give each gateway's open attempts a digit of the count of places

Cause: on_counted could not tell what the one sum held for this gateway, so a place whose return was lost (a reset or spoilt call) stayed taken, or free, for the rest of the count's minute. Ruled out: servers (no plan else lost as much), time-outs (under 1%). Mend: in the count of a plan that caps attempts each gateway of the set has a digit of its own; an answer shows what it holds for this gateway, and the next call puts it right.

--- a/src/control.rs
+++ b/src/control.rs
@@ -29,6 +29,7 @@
 const MESSAGE_BYTES: usize = 256; // bytes; longest peer message (the wire's)
 const COUNT_TTL_US: Micros = 60_000_000; // µs; life of a count (the counter's most), and of its name
 const POST_SHARE: f64 = 0.25; // of the burst slice: use is posted in lumps while the store is half full
+const COUNT_EXACT: f64 = 5e6; // of a total seven digits are exact, of either sign
 const CALLS_START: f64 = 1500.0; // calls a second to the counter, all gateways, until its answers tell more
 const CALLS_LEAST: f64 = 0.2; // calls a second that are always tried, to see it recover
 const FIXERS: u32 = 4; // one in so many calls that finds a count out of step sets it right
@@ -220,6 +221,49 @@
     unposted: f64,               // used and not yet told; below 0: told and not used
     leases: VecDeque<Micros>,    // as keeper of a cap: places given to others, till when
     counted: Option<(u64, f64)>, // the count's last total, and which of its lives that was
+    digits: Option<Digits>,      // how places are written in the count; none: as one sum
+}
+
+/// Each gateway of a customer's set has a digit of the count for its own open attempts, so that it sees what the
+/// count holds for it: a call of which nobody knows whether it was added is put right by the next answer.
+#[derive(Clone, Copy)]
+struct Digits {
+    base: i64,
+    width: u32,
+    mine: u32, // at or past the width: not of the set, which only reads
+}
+
+impl Digits {
+    /// None where so many digits of that size do not fit what a count keeps exactly.
+    fn new(most: f64, width: u32, mine: u32) -> Option<Self> {
+        let base = (4.0 * most + 5.0).max(16.0);
+        (base.powi(width as i32) <= COUNT_EXACT).then_some(Digits { base: base as i64, width, mine })
+    }
+
+    /// What one place of this gateway adds to the count.
+    fn weight(self) -> f64 {
+        if self.mine < self.width {
+            (self.base as f64).powi(self.mine as i32)
+        } else {
+            0.0
+        }
+    }
+
+    /// What the total holds for this gateway, and for all others. A digit below nothing is a correction under way.
+    fn read(self, total: f64) -> (f64, f64) {
+        let (mut left, mut mine, mut others) = (total.round() as i64, 0, 0);
+        for n in 0..self.width {
+            let half = self.base / 2;
+            let digit = (left + half).rem_euclid(self.base) - half;
+            left = (left - digit) / self.base;
+            if n == self.mine {
+                mine = digit
+            } else {
+                others += digit.max(0)
+            }
+        }
+        (mine as f64, others as f64)
+    }
 }
 
 impl Customer {
@@ -288,13 +332,23 @@
 }
 
 impl Gateway {
-    fn customer(&mut self, tag: u32, plan: usize, width: u32, keeper: u32) -> Option<&mut Customer> {
+    /// `place`: where this gateway stands in the customer's set.
+    fn customer(
+        &mut self,
+        tag: u32,
+        plan: usize,
+        width: u32,
+        keeper: u32,
+        place: u32,
+    ) -> Option<&mut Customer> {
         if !self.customers.contains_key(&tag) {
             (self.customers.len() < CUSTOMERS_MAX).then_some(())?;
             let kept = width <= 1 || (keeper == self.set.me && self.set.peer_messages && !self.set.counter);
             let level = self.quotas[plan].most / f64::from(width);
             let at = self.started.unwrap_or(self.now).max(self.now.saturating_sub(IDLE_US));
-            let c = Customer { plan, width, keeper, kept, level, at, ..Customer::default() };
+            let q = &self.quotas[plan];
+            let digits = Digits::new(q.most, width, place).filter(|_| q.places && self.set.counter);
+            let c = Customer { plan, width, keeper, kept, level, at, digits, ..Customer::default() };
             self.customers.insert(tag, c);
         }
         self.customers.get_mut(&tag)
@@ -402,6 +456,7 @@
             let amount = unposted + wanted;
             (c.asking, c.unposted) = (1, -wanted);
             self.counting.insert(name.clone(), (customer, amount, wanted, self.now));
+            let amount = amount * c.digits.map_or(1.0, Digits::weight);
             return out.push(Action::Count { name, amount, ttl_us: COUNT_TTL_US });
         }
         if self.set.peer_messages {
@@ -446,7 +501,9 @@
                 let (plan, width) = (usize::from(plan), u32::from(width).clamp(1, self.set.gateways));
                 let Some(&q) = self.quotas.get(plan).filter(|_| !self.set.counter) else { return };
                 let lapse = now + (LEASE * self.attempt_s * 1e6) as Micros;
-                let Some(c) = self.customer(tag, plan, width, me).filter(|c| c.keeper == me) else { return };
+                let Some(c) = self.customer(tag, plan, width, me, 0).filter(|c| c.keeper == me) else {
+                    return;
+                };
                 (c.kept, c.active_at) = (true, now);
                 c.demand.add(now, RATE_TAU_US, wanted.max(0.0) + extra.max(0.0));
                 if q.places {
@@ -485,7 +542,14 @@
         self.calls.learn(quick);
         let Some(c) = self.customers.get_mut(&customer) else { return };
         let q = self.quotas[c.plan];
-        if status == Status::Served && total.is_finite() {
+        let heard = status == Status::Served && total.is_finite();
+        if let Some(digits) = c.digits.filter(|_| heard) {
+            let (mine, others) = digits.read(total);
+            let open = f64::from(c.open);
+            c.unposted = if digits.mine < digits.width { open - mine } else { 0.0 };
+            c.level = (q.most - others - open).clamp(-q.most, q.most);
+            (c.heard_at, c.at) = (Some(self.now), self.now);
+        } else if heard {
             let life = sent / COUNT_TTL_US;
             let filled = if q.places { 0.0 } else { q.rate * (sent % COUNT_TTL_US) as f64 / 1e6 };
             let (most, mut level) = (q.most, q.most + filled - (total - wanted));
@@ -684,8 +748,9 @@
         l.units = if l.units > 0.0 { l.units } else { units };
         let tag = gossip::tag(&r.customer.0);
         let width = r.width.clamp(1, self.set.gateways);
-        let keeper = (r.first_gateway % self.set.gateways + tag % width) % self.set.gateways;
-        let Some(c) = self.customer(tag, plan, width, keeper) else { return out.push(never) };
+        let (all, first) = (self.set.gateways, r.first_gateway % self.set.gateways);
+        let (keeper, place) = ((first + tag % width) % all, (self.set.me + all - first) % all);
+        let Some(c) = self.customer(tag, plan, width, keeper, place) else { return out.push(never) };
         c.demand.add(now, RATE_TAU_US, units);
         c.active_at = now;
         // Where a late answer is worth nothing the aim ends it: unanswered attempts are no queue.
