Keep counts in step: reserve places, make up once, no calls in circles, carry levels

Causes, in control.rs: (1) a call ended by "no connection" was made again at once, 17 times in 0.1 ms, and each halved the call rate (answered, Calls::learn); (2) two gateways that met a lack both made up for it (on_counted); (3) a request was sent after a call that only read, so that two gateways took one place; (4) a count that the counter had lost, or that a stranger made anew, was taken for a full store; (5) a refusal told nothing (decide); (6) the even slice of a ceiling begins at nothing also where the quota is far below the ceiling (draw). Ruled out: servers and time-outs, under 1% of the tries. Mend: each where it is said. The gateway lets calls wait for a connection that is just being made, and says of a broken one that it broke.

--- a/gateway/src/counter.rs
+++ b/gateway/src/counter.rs
@@ -54,8 +54,12 @@
             }
         };
         let connected = {
-            let connect = timeout(CONNECT, TcpStream::connect(address));
-            turning_away(connect, &mut calls, &driver).await
+            let mut connect = std::pin::pin!(timeout(CONNECT, TcpStream::connect(address)));
+            // A connection is there in no time as a rule, and calls can wait for it.
+            match timeout(patience / 2, connect.as_mut()).await {
+                Ok(connected) => connected,
+                Err(_) => turning_away(connect, &mut calls, &driver).await,
+            }
         };
         if let Ok(Ok(stream)) = connected {
             let mut line = Line::new(stream, patience);
@@ -246,7 +250,7 @@
     /// The connection is over. A call not written whole added nothing; of the others nobody knows.
     fn give_up(&mut self, driver: &Rc<Driver>) {
         for w in self.waiting.drain(..) {
-            let status = if w.end <= self.written { Status::NoAnswer } else { Status::NoConnection };
+            let status = if w.end <= self.written { Status::ConnectionLost } else { Status::NoConnection };
             if let Some(name) = w.name {
                 driver.counted(name, status, 0.0);
             }
--- a/src/control.rs
+++ b/src/control.rs
@@ -24,6 +24,7 @@
 const RATE_TAU_US: f64 = 3_000_000.0; // µs; time constant of rates: customers move within seconds
 const NEWS_TO: u32 = 2; // peers told the fractions and rates an interval: a sample, whatever the fleet's size
 const HEARD_US: Micros = 1_500_000; // µs; what was heard counts this long, then the even slice holds
+const FRESH_US: Micros = 100_000; // µs; what was heard is as good as now: a few requests of one customer
 const ASK_US: Micros = 100_000; // µs; a keeper's answer is awaited this long, twice: short beside any aim
 const LEASE: f64 = 3.0; // mean attempts that a place given out is kept for, in case its return is lost
 const MESSAGE_BYTES: usize = 256; // bytes; longest peer message (the wire's)
@@ -32,6 +33,7 @@
 const COUNT_EXACT: f64 = 5e6; // of a total seven digits are exact, of either sign
 const CALLS_START: f64 = 1500.0; // calls a second to the counter, all gateways, until its answers tell more
 const CALLS_LEAST: f64 = 0.2; // calls a second that are always tried, to see it recover
+const LOW_US: Micros = 300_000; // µs; a count out of step for so long is not being put right by who spoilt it
 const FIXERS: u32 = 4; // one in so many calls that finds a count out of step sets it right
 const SLOW_CALL_US: Micros = 30_000; // µs; an answer later than this says that calls wait in line
 const IDLE_US: Micros = 30_000_000; // µs; an idle customer is forgotten: a store of seconds is full again
@@ -222,6 +224,8 @@
     leases: VecDeque<Micros>,    // as keeper of a cap: places given to others, till when
     counted: Option<(u64, f64)>, // the count's last total, and which of its lives that was
     digits: Option<Digits>,      // how places are written in the count; none: as one sum
+    fix: f64,                    // what the call that is out makes up for in the count
+    low_since: Option<Micros>,   // the count has been out of step below nothing since then
 }
 
 /// Each gateway of a customer's set has a digit of the count for its own open attempts, so that it sees what the
@@ -306,6 +310,10 @@
     /// Whether the store surely holds the units: since told, the others used the whole rate, or nothing.
     fn sure(&self, q: &Quota, units: f64, now: Micros) -> Option<bool> {
         let heard_at = if self.kept { now } else { self.heard_at? };
+        // The count is out of step: it may be right again by now.
+        if !self.kept && self.level <= -q.most {
+            return None;
+        }
         let since = now.saturating_sub(heard_at) as f64 / 1e6 * q.rate;
         let (holds, most) = (self.level - since >= units, self.level + since * (1.0 - self.part(now)));
         (self.kept || !q.places && (holds || most < units)).then_some(holds)
@@ -374,10 +382,14 @@
         let (units, Some(c)) = (p.units, self.customers.get_mut(&p.customer)) else { return true };
         let q = self.quotas[c.plan];
         c.refill(&q, self.now);
-        if q.ceiling.is_some() && c.ceiling < units {
+        // Who has just heard what all have used may pass the even slice of a ceiling, inside the quota: where the
+        // ceiling is so far above it, it would hold even if the whole store were used twice.
+        let roomy = |c: Ceiling| c.depth >= 2.0 * q.most && c.rate >= 2.0 * q.rate;
+        let told = c.level >= units && c.heard_at.is_some_and(|t| self.now - t <= FRESH_US);
+        if q.ceiling.is_some_and(|ceiling| !roomy(ceiling) || !told) && c.ceiling < units {
             return false;
         }
-        c.ceiling -= units;
+        c.ceiling = (c.ceiling - units).max(0.0);
         if !q.places && c.level >= units {
             c.level -= units;
             c.unposted += units;
@@ -477,14 +489,22 @@
         }
     }
 
-    fn answered(&mut self, customer: u32, out: &mut Vec<Action>) {
+    /// The held requests are decided. What is untold goes out with the next event of the customer if `told` is false:
+    /// a call that just failed would fail again.
+    fn answered(&mut self, customer: u32, told: bool, out: &mut Vec<Action>) {
         let Some(c) = self.customers.get_mut(&customer) else { return };
         if c.heard_at == Some(self.now) && !c.held.is_empty() {
             self.odds[c.plan][usize::from(c.level >= 1.0)].add(self.now, ODDS_TAU_US, 1.0);
         }
-        c.asking = 0;
+        // Until all are decided nothing is told: what is asked in vain for one may do for the next.
+        c.asking = 1;
         std::mem::take(&mut c.held).into_iter().for_each(|id| self.decide(id, true, out));
-        self.post(customer, out);
+        if let Some(c) = self.customers.get_mut(&customer) {
+            c.asking = 0;
+        }
+        if told {
+            self.post(customer, out);
+        }
     }
 
     /// What does not parse is dropped whole; nothing heard ever touches a ceiling slice.
@@ -528,7 +548,7 @@
                 (c.level, c.heard_at, c.at) = (level.clamp(-q.most, q.most), Some(now), now);
                 let mine = c.demand.at(now, RATE_TAU_US);
                 c.others = Decayed::new(now, (demand * RATE_TAU_US / 1e6 - mine).max(0.0));
-                self.answered(tag, out);
+                self.answered(tag, true, out);
             }
             None => {}
         }
@@ -539,7 +559,10 @@
     fn on_counted(&mut self, name: &str, status: Status, total: f64, out: &mut Vec<Action>) {
         let Some((customer, amount, wanted, sent)) = self.counting.remove(name) else { return };
         let quick = status == Status::Served && self.now.saturating_sub(sent) <= SLOW_CALL_US;
-        self.calls.learn(quick);
+        // No connection, or one that broke, says nothing of how busy the counter is.
+        if !matches!(status, Status::ConnectionLost | Status::NoConnection) {
+            self.calls.learn(quick);
+        }
         let Some(c) = self.customers.get_mut(&customer) else { return };
         let q = self.quotas[c.plan];
         let heard = status == Status::Served && total.is_finite();
@@ -549,35 +572,55 @@
             c.unposted = if digits.mine < digits.width { open - mine } else { 0.0 };
             c.level = (q.most - others - open).clamp(-q.most, q.most);
             (c.heard_at, c.at) = (Some(self.now), self.now);
+            // Guards against places that two gateways see free at once: each held request has its place in the count
+            // before it is sent.
+            let places = c.level.min(c.held.len() as f64);
+            if digits.mine < digits.width && places + c.unposted >= 1.0 && self.calls.take(self.now) {
+                return self.send_ask(customer, places, out);
+            }
         } else if heard {
             let life = sent / COUNT_TTL_US;
             let filled = if q.places { 0.0 } else { q.rate * (sent % COUNT_TTL_US) as f64 / 1e6 };
             let (most, mut level) = (q.most, q.most + filled - (total - wanted));
-            // Guards against a second burst for everyone at the turn of lives: who makes the new count carries on
-            // from the level that it knew, and what the others have not used since.
-            // Places come back by themselves: there an old level would be lost for the whole life.
-            let turned = !q.places && total == amount && c.counted.is_some_and(|(last, _)| last != life);
+            // Guards against a second burst for everyone at the turn of lives, or when the counter has lost what it
+            // held: a new count carries on from the level that was known, and what the others have not used since.
+            let anew = |(last, old): (u64, f64)| last != life || old > most && total - amount < old / 4.0;
+            let turned = !q.places && c.counted.is_some_and(anew);
             let unheard_s = c.heard_at.map_or(0.0, |t| self.now.saturating_sub(t) as f64 / 1e6);
             let known = c.level + q.rate * (1.0 - c.part(self.now)) * unheard_s;
-            if turned && level > known {
-                c.unposted += level - known;
-                level = known;
-            }
+            let carried = if turned { (level - known).max(0.0) } else { 0.0 };
+            level -= carried;
             // Of many gateways who makes the count sets it right, later few do, lest all overshoot in turn.
             let few = !c.thin(&q);
             let fixes = few || total == amount || self.rng.next_u32() < u32::MAX / FIXERS;
-            if fixes && (level > if few { 1.1 } else { 1.5 } * most || level < -most) {
-                c.unposted += (level - most).max(level.min(0.0)).clamp(-1e6, 1e6);
-            }
             let since = |(last, old): (u64, f64)| if last == life { total - amount - old } else { 0.0 };
             let others = c.counted.map_or(0.0, since).max(0.0);
+            // Guards against making up twice for one lack: who sees that another did so first takes its own back.
+            let fixed = std::mem::take(&mut c.fix);
+            if fixed > 0.0 && others >= fixed / 2.0 {
+                let twice = fixed.min(others);
+                c.unposted -= twice;
+                level += twice;
+            }
+            c.low_since = c.low_since.or(Some(self.now)).filter(|_| level < -most);
+            let lasts = c.low_since.is_some_and(|t| self.now - t >= LOW_US);
+            if carried > 0.0 || fixes && level > if few { 1.1 } else { 1.5 } * most {
+                c.fix = (carried + (level - most).max(0.0)).min(1e6);
+                c.unposted += c.fix;
+            } else if fixes && lasts {
+                c.unposted += level.max(-1e6);
+                c.low_since = None;
+            }
             c.counted = Some((life, total));
             c.others.add(self.now, RATE_TAU_US, others.min(most));
             (c.level, c.heard_at, c.at) = (level.clamp(-most, most), Some(self.now), self.now);
-        } else if status != Status::NoAnswer {
+        } else if status.never_ran() {
             c.unposted += amount;
+        } else {
+            // Were it added, it would look like another's at the next answer.
+            c.fix = 0.0;
         }
-        self.answered(customer, out);
+        self.answered(customer, !status.never_ran(), out);
     }
 }
 
@@ -792,7 +835,11 @@
         let [none, room] = self.odds[plan].map(|n| n.at(now, ODDS_TAU_US));
         match known.unwrap_or(holds || unknown && none + room >= 1.0 && room > none * cost) {
             true => self.dispatch(id, out),
-            false => self.finish(id, wait_us, out),
+            false => {
+                // What could not be told yet may be why it looks used up.
+                self.post(customer, out);
+                self.finish(id, wait_us, out);
+            }
         }
     }
 
@@ -912,7 +959,7 @@
                 let Some(c) = c.filter(|c| c.held.contains(&id)) else { return };
                 c.asking += 1;
                 if self.set.counter || c.asking > 2 || left <= 2 * MARGIN_US {
-                    return self.answered(customer, out);
+                    return self.answered(customer, true, out);
                 }
                 self.send_ask(customer, wanted, out);
                 out.push(Action::SetTimer { after_us: ASK_US.min(left - MARGIN_US), timer });
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -79,20 +79,35 @@
     })
 }
 
+/// Answers what is asked of a counter that stands at `total`, and all that follows; what it says of calls is `how`'s.
+pub fn settle_as(
+    rig: &mut Rig,
+    mut actions: Vec<Action>,
+    total: &mut f64,
+    mut how: impl FnMut() -> Status,
+) -> Vec<Action> {
+    let mut k = 0;
+    while k < actions.len() {
+        if let Action::Count { name, amount, .. } = actions[k].clone() {
+            let status = how();
+            *total += if status == Status::Served { amount } else { 0.0 };
+            actions.extend(rig.tell(Event::Counted { name, status, total: *total }));
+        }
+        k += 1;
+    }
+    actions
+}
+
+pub fn settle(rig: &mut Rig, actions: Vec<Action>, total: &mut f64) -> Option<ServerId> {
+    sent(&settle_as(rig, actions, total, || Status::Served))
+}
+
 /// How many of `tries` requests are passed on while a counter that stands at `total` answers at once.
 pub fn passed_by_counter(rig: &mut Rig, width: u32, tries: usize, total: &mut f64) -> usize {
     let mut n = 0;
     for _ in 0..tries {
-        let (id, mut actions) = rig.ask(|r| r.width = width);
-        let mut k = 0;
-        while k < actions.len() {
-            if let Action::Count { name, amount, .. } = actions[k].clone() {
-                *total += amount;
-                actions.extend(rig.tell(Event::Counted { name, status: Status::Served, total: *total }));
-            }
-            k += 1;
-        }
-        if let Some(server) = sent(&actions) {
+        let (id, actions) = rig.ask(|r| r.width = width);
+        if let Some(server) = settle(rig, actions, total) {
             n += 1;
             rig.outcome(id, 0, &server, Status::Served, 0);
         }
--- a/tests/mechanism.rs
+++ b/tests/mechanism.rs
@@ -72,8 +72,7 @@
 
 #[test]
 fn the_others_use_told_by_the_counter_is_drawn_and_what_they_left_comes_here() {
-    let mut settings = Settings::example();
-    (settings.gateways, settings.counter) = (2, true);
+    let settings = counted(2);
     // As much of the minute's fill is gone as the others used: the store stands at 20 less their use.
     let pass = |others: f64| {
         let mut rig = Rig::with_servers(settings.clone(), 4);
@@ -101,8 +100,7 @@
 
 #[test]
 fn a_counter_back_at_nought_or_silent_mints_nothing() {
-    let mut settings = Settings::example();
-    (settings.gateways, settings.counter) = (2, true);
+    let settings = counted(2);
     let mut rig = Rig::with_servers(settings, 4);
     let mut n = 0;
     for k in 0..60 {
@@ -235,11 +233,15 @@
     assert!(answered >= 70_000 - 65_536, "customers beyond the bound are refused");
 }
 
+/// Settings of one of several gateways that share a counter.
+fn counted(gateways: u32) -> Settings {
+    Settings { gateways, counter: true, ..Settings::example() }
+}
+
 /// Guards against a second burst for every customer whenever the counts begin anew.
 #[test]
 fn a_used_up_store_stays_used_up_when_its_count_begins_anew() {
-    let mut settings = Settings::example();
-    (settings.gateways, settings.counter) = (2, true);
+    let mut settings = counted(2);
     (settings.plans[0].rate, settings.plans[0].burst) = (0.5, 10.0);
     let mut rig = Rig::with_servers(settings, 4);
     rig.now = 1_019_500_000; // half a second before a minute is over
@@ -254,27 +256,134 @@
     assert!((9.0..=12.0).contains(&total), "{total} used");
 }
 
+/// Guards, too, against the same when the counter has lost what it held.
+#[test]
+fn a_used_up_store_stays_used_up_when_the_counter_comes_back_empty() {
+    let mut settings = counted(2);
+    (settings.plans[0].rate, settings.plans[0].burst) = (0.5, 10.0);
+    let mut rig = Rig::with_servers(settings, 4);
+    rig.now = 1_050_000_000;
+    let mut total = 0.0;
+    assert!(passed_by_counter(&mut rig, 2, 30, &mut total) >= 9, "the burst");
+    rig.now += 2_000_000;
+    total = 0.0;
+    let again = passed_by_counter(&mut rig, 2, 30, &mut total);
+    assert!((1..=2).contains(&again), "{again} more in 2 s");
+}
+
+/// Guards against a store that looks used up: two gateways that see at once what the count lacks make up for it once.
+#[test]
+fn two_gateways_make_up_for_a_lack_once() {
+    let mut rigs = [1, 2].map(|seed| {
+        let mut settings = counted(2);
+        settings.me = seed as u32 - 1;
+        (settings.plans[0].rate, settings.plans[0].burst) = (10.0, 20.0);
+        let mut rig = Rig::seeded(settings, seed).listing(4);
+        rig.now = 1_030_000_000; // ten seconds into the life of the count: 100 units came in and none was used
+        rig
+    });
+    let mut total = 0.0;
+    // Both ask before either has told what it makes up for.
+    let mut waiting: Vec<Vec<Action>> = rigs.iter_mut().map(|rig| rig.ask(|r| r.width = 2).1).collect();
+    while waiting.iter().any(|w| !w.is_empty()) {
+        for (rig, actions) in rigs.iter_mut().zip(&mut waiting) {
+            for action in std::mem::take(actions) {
+                if let Action::Count { name, amount, .. } = action {
+                    total += amount;
+                    actions.extend(rig.tell(Event::Counted { name, status: Status::Served, total }));
+                }
+            }
+        }
+    }
+    assert!((100.0..=105.0).contains(&total), "{total}");
+    let mut passed = 0;
+    for rig in &mut rigs {
+        passed += passed_by_counter(rig, 2, 30, &mut total);
+    }
+    // A little more than the 18 that are left: small use is told in lumps.
+    assert!((15..=22).contains(&passed), "{passed} passed");
+}
+
+/// Guards against calls in a circle while nobody answers them.
+#[test]
+fn a_call_that_was_not_added_is_not_made_again_at_once() {
+    for status in [Status::NoConnection, Status::TurnedAway] {
+        let mut rig = Rig::with_servers(counted(2), 4);
+        let (_, actions) = rig.ask(|r| r.width = 2);
+        let all = settle_as(&mut rig, actions, &mut 0.0, || status);
+        let calls = all.iter().filter(|a| matches!(a, Action::Count { .. })).count();
+        assert!(calls <= 2, "{calls} calls");
+    }
+}
+
+/// Guards against a place that stays taken, or free, because nobody knows whether a call was added.
+#[test]
+fn a_place_whose_call_was_lost_is_put_right() {
+    for lost in 0..3 {
+        let mut settings = counted(2);
+        (settings.plans[0].rate, settings.plans[0].burst, settings.plans[0].max_open) = (0.0, 0.0, 4);
+        let mut rig = Rig::with_servers(settings, 4);
+        let (mut total, mut calls) = (0.0, 0);
+        let mut how = || {
+            calls += 1;
+            if calls - 1 == lost {
+                Status::ConnectionLost
+            } else {
+                Status::Served
+            }
+        };
+        for _ in 0..4 {
+            let (id, actions) = rig.ask(|r| r.width = 2);
+            let actions = settle_as(&mut rig, actions, &mut total, &mut how);
+            if let Some(server) = sent(&actions) {
+                let actions = rig.outcome(id, 0, &server, Status::Served, 10_000);
+                settle_as(&mut rig, actions, &mut total, &mut how);
+            }
+        }
+        let mut open = 0;
+        for _ in 0..8 {
+            let (_, actions) = rig.ask(|r| r.width = 2);
+            open += usize::from(settle(&mut rig, actions, &mut total).is_some());
+        }
+        assert_eq!((open, total), (4, 4.0), "call {lost} was lost");
+    }
+}
+
+/// Guards against one place that two gateways see free at once.
+#[test]
+fn a_place_is_taken_in_the_count_before_anything_is_sent() {
+    let mut settings = counted(2);
+    (settings.plans[0].rate, settings.plans[0].burst, settings.plans[0].max_open) = (0.0, 0.0, 2);
+    let mut rig = Rig::with_servers(settings, 4);
+    let mut total = 0.0;
+    // Several wait for one answer.
+    let mut actions: Vec<Action> = (0..5).flat_map(|_| rig.ask(|r| r.width = 2).1).collect();
+    let (mut sends, mut k) = (0, 0);
+    while k < actions.len() {
+        match actions[k].clone() {
+            Action::Count { name, amount, .. } => {
+                total += amount;
+                actions.extend(rig.tell(Event::Counted { name, status: Status::Served, total }));
+            }
+            Action::Send { .. } => {
+                sends += 1;
+                assert!(total >= f64::from(sends), "{sends} sent with {total} in the count");
+            }
+            _ => {}
+        }
+        k += 1;
+    }
+    assert_eq!((sends, total), (2, 2.0));
+}
+
 /// Guards against places that are lost for a minute: what was out at the turn of the counts comes back.
 #[test]
 fn places_come_back_when_their_count_begins_anew() {
-    let mut settings = Settings::example();
-    (settings.gateways, settings.counter) = (2, true);
+    let mut settings = counted(2);
     (settings.plans[0].rate, settings.plans[0].burst, settings.plans[0].max_open) = (0.0, 0.0, 4);
     let mut rig = Rig::with_servers(settings, 4);
     rig.now = 1_019_000_000;
     let mut total = 0.0;
-    // Answers what is asked of the counter.
-    let settle = |rig: &mut Rig, mut actions: Vec<Action>, total: &mut f64| {
-        let mut k = 0;
-        while k < actions.len() {
-            if let Action::Count { name, amount, .. } = actions[k].clone() {
-                *total += amount;
-                actions.extend(rig.tell(Event::Counted { name, status: Status::Served, total: *total }));
-            }
-            k += 1;
-        }
-        sent(&actions)
-    };
     // Opens as many as may be open at once.
     let open = |rig: &mut Rig, total: &mut f64| {
         let mut out = Vec::new();
