Stop using connections that were idle for longer than servers keep them

Cause: upstream.rs keeps connections 10 s whatever happens to them. Ruled out: bytes or an end waiting in the socket (peek saw none). Mend: how requests on kept connections end is tallied by idle time; ages that lose too many are not used.

--- a/gateway/src/upstream.rs
+++ b/gateway/src/upstream.rs
@@ -334,6 +334,52 @@
     }
 }
 
+/// A server that closes an idle connection may do so unseen, and sooner than it should: a request written to it then is
+/// answered by a reset, and may have run. How such requests ended, by how long their connections had been idle, tells
+/// from when on none should be written.
+#[derive(Default)]
+struct Staleness([Tally; 12]);
+
+#[derive(Default, Clone, Copy)]
+struct Tally {
+    used: f64,
+    lost: f64,
+}
+
+impl Staleness {
+    /// Ages from here on are told apart, by doubling; this is as good as in use.
+    const LEAST: Duration = Duration::from_millis(12);
+    /// A reset that comes sooner than this after a request is taken for the answer to a stale one.
+    const AT_ONCE: Duration = Duration::from_millis(10);
+    /// Lost at least, and as a share of those used, before an age is held to be too old: some are lost at any age.
+    const MANY: f64 = 3.0;
+    const SHARE: f64 = 0.12;
+    /// What is kept of the tallies each second, so that an age is tried again.
+    const KEPT: f64 = 0.93;
+
+    fn note(&mut self, idle: Duration, lost: bool) {
+        let doublings = (idle.as_secs_f64() / Self::LEAST.as_secs_f64()).max(1.0).log2() as usize;
+        let tally = &mut self.0[doublings.min(self.0.len() - 1)];
+        tally.used += 1.0;
+        tally.lost += f64::from(u8::from(lost));
+    }
+
+    fn fade(&mut self) {
+        for tally in &mut self.0 {
+            (tally.used, tally.lost) = (tally.used * Self::KEPT, tally.lost * Self::KEPT);
+        }
+    }
+
+    /// The age from which on too many are lost.
+    fn limit(&self) -> Duration {
+        let old = |t: &Tally| t.lost >= Self::MANY && t.lost >= t.used * Self::SHARE;
+        match self.0.iter().position(old) {
+            Some(n) => Self::LEAST * (1 << n),
+            None => Duration::MAX,
+        }
+    }
+}
+
 pub struct Limits {
     pub connect_timeout: Duration,
     /// Idle connections are retired after this, well before a server closes them.
@@ -347,11 +393,12 @@
     limits: Limits,
     servers: RefCell<HashMap<ServerId, Server>>,
     open: Rc<Cell<usize>>,
+    staleness: RefCell<Staleness>,
 }
 
 impl Upstream {
     pub fn new(limits: Limits) -> Self {
-        Upstream { limits, servers: RefCell::default(), open: Rc::default() }
+        Upstream { limits, servers: RefCell::default(), open: Rc::default(), staleness: RefCell::default() }
     }
 
     /// News of the list. A whole one forgets what it leaves out; connections to what is gone, draining or moved go.
@@ -384,11 +431,16 @@
         Some((s.address, s.gone.clone()))
     }
 
+    /// How long a connection may be idle.
+    fn most_idle(&self) -> Duration {
+        self.limits.idle.min(self.staleness.borrow().limit())
+    }
+
     /// The idle connection used last that can be used again: the others can age and be retired.
-    fn take(&self, server: &ServerId) -> Option<(Conn, Slot)> {
+    fn take(&self, server: &ServerId) -> Option<Idle> {
         let mut servers = self.servers.borrow_mut();
-        let idle = &mut servers.get_mut(server)?.idle;
-        std::iter::from_fn(|| idle.pop()).find(|i| i.conn.quiet()).map(|i| (i.conn, i.slot))
+        let (idle, most) = (&mut servers.get_mut(server)?.idle, self.most_idle());
+        std::iter::from_fn(|| idle.pop()).find(|i| i.since.elapsed() < most && i.conn.quiet())
     }
 
     fn put_back(&self, server: &ServerId, address: SocketAddr, conn: Conn, slot: Slot) {
@@ -401,9 +453,10 @@
 
     /// Closes what has stood idle for long or was closed by its server.
     pub fn sweep(&self) {
-        let now = Instant::now();
+        self.staleness.borrow_mut().fade();
+        let (now, most) = (Instant::now(), self.most_idle());
         for s in self.servers.borrow_mut().values_mut() {
-            s.idle.retain(|i| now.duration_since(i.since) < self.limits.idle && i.conn.quiet());
+            s.idle.retain(|i| now.duration_since(i.since) < most && i.conn.quiet());
         }
     }
 
@@ -429,17 +482,22 @@
         let never = Ended::without_answer(Status::NoConnection);
         let Some((address, gone)) = self.wanted(server) else { return never };
         let connection = timeout_at(deadline, self.connection(server, address));
-        let Ok(Some((conn, slot))) = connection.await else { return never };
+        let Ok(Some((conn, slot, idle))) = connection.await else { return never };
         // While it connected the server may have begun to drain, or moved: nothing new goes there.
         if self.wanted(server).is_none_or(|(now, _)| now != address) {
             return never;
         }
         let request = build(deadline.saturating_duration_since(Instant::now()));
         let written = Cell::new(0);
+        let begun = Instant::now();
         let answer = tokio::select! {
             answer = timeout_at(deadline, conn.ask(&request, BODY_BYTES, &written)) => answer,
             () = gone.notified() => Ok(Err(io::ErrorKind::ConnectionAborted.into())),
         };
+        if let Some(idle) = idle {
+            let lost = matches!(answer, Ok(Err(_))) && begun.elapsed() < Staleness::AT_ONCE;
+            self.staleness.borrow_mut().note(idle, lost);
+        }
         match answer {
             Ok(Ok(answer)) => {
                 let status = status(&answer);
@@ -455,14 +513,18 @@
         }
     }
 
-    /// A connection on which nothing is out.
-    async fn connection(&self, server: &ServerId, address: SocketAddr) -> Option<(Conn, Slot)> {
-        if let Some(idle) = self.take(server) {
-            return Some(idle);
+    /// A connection on which nothing is out, and how long it has been idle if it is not new.
+    async fn connection(
+        &self,
+        server: &ServerId,
+        address: SocketAddr,
+    ) -> Option<(Conn, Slot, Option<Duration>)> {
+        if let Some(Idle { conn, since, slot }) = self.take(server) {
+            return Some((conn, slot, Some(since.elapsed())));
         }
         let slot = self.slot()?;
         let conn = timeout(self.limits.connect_timeout, Conn::open(address)).await.ok()?.ok()?;
-        Some((conn, slot))
+        Some((conn, slot, None))
     }
 }
 
--- a/gateway/tests/common/mod.rs
+++ b/gateway/tests/common/mod.rs
@@ -19,6 +19,8 @@
     pub line: String,
     pub headers: Vec<(String, String)>,
     pub body: String,
+    /// How long its connection had been idle; at a server only, and not for a connection's first.
+    pub idle: Option<Duration>,
 }
 
 impl Message {
@@ -61,6 +63,8 @@
     Twice(String, String),
     /// These bytes, then, a little later, the end of the connection.
     Last(String),
+    /// The end of the connection.
+    End,
     /// Nothing, for as long as the gateway stays.
     Silence,
 }
@@ -137,7 +141,9 @@
 fn converse(stream: TcpStream, tell: &Sender<Seen>, reply: &dyn Fn(&Message) -> Reply) {
     let Ok(mut write) = stream.try_clone() else { return };
     let mut read = BufReader::new(stream);
-    while let Some(message) = read_message(&mut read) {
+    let mut since: Option<Instant> = None;
+    while let Some(mut message) = read_message(&mut read) {
+        message.idle = since.map(|s| s.elapsed());
         let _ = tell.send(Seen::Request(message.clone()));
         match reply(&message) {
             Reply::Bytes(bytes) => {
@@ -154,11 +160,13 @@
                 let _ = write.shutdown(std::net::Shutdown::Both);
                 return;
             }
+            Reply::End => return,
             Reply::Silence => {
                 let _ = read.read(&mut [0]);
                 return;
             }
         }
+        since = Some(Instant::now());
     }
 }
 
--- a/gateway/tests/plain.rs
+++ b/gateway/tests/plain.rs
@@ -2,6 +2,7 @@
 
 mod common;
 use common::*;
+use std::time::Duration;
 
 #[test]
 fn a_request_goes_on_unchanged_and_its_answer_comes_back_unchanged() {
@@ -38,7 +39,7 @@
         if ask.path.contains("last") {
             server.closed();
             // Its end has to cross to the gateway.
-            std::thread::sleep(std::time::Duration::from_millis(100));
+            std::thread::sleep(Duration::from_millis(100));
         }
     }
     // One more connection after the one that ended, for the two requests that were left.
@@ -48,6 +49,25 @@
     assert_eq!(count(|s| matches!(s, Seen::Request(_))), 2, "{seen:?}");
 }
 
+/// Guards against servers that drop idle connections unseen, and sooner than the settings say: each request written to
+/// one may have run.
+#[test]
+fn connections_that_servers_drop_unseen_when_idle_are_not_used_for_long() {
+    let server = Server::new(|m| if m.idle > Some(Duration::from_millis(80)) { Reply::End } else { ok("") });
+    let discovery = Discovery::new(&target("a", server.address, 0, "Ready"));
+    let gateway = Gateway::alone(&discovery);
+    let dropped = |asks: usize| {
+        for _ in 0..asks {
+            gateway.ask(&Ask::top_up());
+            std::thread::sleep(Duration::from_millis(150));
+        }
+        let late = |s: &Seen| matches!(s, Seen::Request(m) if m.idle > Some(Duration::from_millis(80)));
+        server.so_far().iter().filter(|s| late(s)).count()
+    };
+    assert!(dropped(8) >= 1, "nobody knows yet");
+    assert_eq!(dropped(8), 0);
+}
+
 #[test]
 fn it_is_ready_once_discovery_has_told_the_list() {
     let server = Server::new(|_| ok(""));
