--- a/gateway/src/upstream.rs
+++ b/gateway/src/upstream.rs
@@ -413,6 +413,7 @@
                 servers.remove(&id);
                 continue;
             }
+            let arrives = servers.get(&id).is_none_or(|s| s.address != t.endpoint);
             let fresh =
                 || Server { address: t.endpoint, ready: false, idle: Vec::new(), gone: Rc::default() };
             let s = servers.entry(id).or_insert_with(fresh);
@@ -421,6 +422,14 @@
                 s.idle.clear();
             }
             s.address = t.endpoint;
+            // Guards against reaching a new server under the name of the one that stood there before: addresses are
+            // used again, and news that the old one is gone may come later.
+            let there =
+                |(id, s): &(&ServerId, &mut Server)| arrives && s.address == t.endpoint && *t.uid != *id.0;
+            for (_, old) in servers.iter_mut().filter(there) {
+                old.ready = false;
+                old.idle.clear();
+            }
         }
     }
 
--- a/gateway/tests/rules.rs
+++ b/gateway/tests/rules.rs
@@ -38,6 +38,23 @@
     assert_eq!(gateway.ask(&Ask::check()).body, "new");
 }
 
+/// Guards against a new server that is reached, or judged, under the name of the one whose address it has.
+#[test]
+fn a_server_at_the_address_of_another_has_connections_of_its_own() {
+    let server = Server::new(|_| ok("here"));
+    let discovery = Discovery::new(&target("old", server.address, 0, "Ready"));
+    let gateway = Gateway::alone(&discovery);
+    assert_eq!(gateway.ask(&Ask::check()).body, "here");
+    discovery.tell(false, &target("new", server.address, 1, "Ready"));
+    // The old one's connection goes, though nobody has said yet that it is gone.
+    server.closed();
+    server.so_far();
+    for _ in 0..4 {
+        assert_eq!(gateway.ask(&Ask::top_up()).body, "here");
+    }
+    assert_eq!(server.so_far().iter().filter(|s| matches!(s, Seen::Connected)).count(), 1);
+}
+
 /// Guards against waiting out a server that is known to be gone.
 #[test]
 fn an_attempt_at_a_server_that_is_gone_ends() {
--- a/src/control.rs
+++ b/src/control.rs
@@ -40,6 +40,9 @@
 const CUSTOMERS_MAX: usize = 65_536; // remembered at most; others are refused until some age out
 const RETRY_AFTER_MIN_US: f64 = 100_000.0; // µs; shortest retry-after: less is no rest for anyone
 const MARGIN_US: Micros = 20_000; // µs before its client leaves a held request is answered: several ticks
+const PATIENT: f64 = 4.0; // times the usual time of an attempt that one may take while another could follow...
+const LEAST_BOUND: f64 = 0.4; // ...and of the time left at least: most late answers are slow work, not silence
+const UNSENT_PERCENT: Micros = 45; // of a request's time, for which it may wait for a server
 const RETRY_SHARE: f64 = 0.15; // budget tokens for further attempts a first attempt earns...
 const RETRY_MOST: f64 = 10.0; // ...and the most kept: they stay a small share of load
 const ANSWER_WEIGHT: f64 = 0.2; // weight of one answer in a server's averages: about the last five
@@ -64,10 +67,10 @@
     calls: Calls,
     odds: Vec<[Decayed; 2]>, // by plan: asks answered of late without room, and with
     quotas: Vec<Quota>,
-    attempt_s: f64,                                      // mean time of an attempt
-    counting: BTreeMap<String, (u32, f64, f64, Micros)>, // calls out: customer, amount, of it wanted, when
-    heard_rates: Vec<Decayed>,                           // admitted rates told by peers, by cell
-    heard_news: Decayed,                                 // how many told them
+    attempt_s: f64,                               // mean time of an attempt
+    counting: BTreeMap<String, VecDeque<Called>>, // calls out, by name; answers come in their order
+    heard_rates: Vec<Decayed>,                    // admitted rates told by peers, by cell
+    heard_news: Decayed,                          // how many told them
     servers: BTreeMap<ServerId, Server>,
     send_rate: Decayed,
     requests: BTreeMap<RequestId, Pending>,
@@ -400,6 +403,13 @@
 
 // ---- Asking the counter or the keeper --------------------------------------------------------------
 
+/// A call to the counter that is out.
+struct Called {
+    customer: u32,
+    amount: f64,
+    sent: Micros,
+}
+
 /// Calls to the counter: as many a second as it answers quickly. The fleet shares it, so each backs off.
 struct Calls {
     rate: f64,
@@ -467,7 +477,8 @@
             let name = format!("{customer:08x}:{}", self.now / COUNT_TTL_US);
             let amount = unposted + wanted;
             (c.asking, c.unposted) = (1, -wanted);
-            self.counting.insert(name.clone(), (customer, amount, wanted, self.now));
+            let call = Called { customer, amount, sent: self.now };
+            self.counting.entry(name.clone()).or_default().push_back(call);
             let amount = amount * c.digits.map_or(1.0, Digits::weight);
             return out.push(Action::Count { name, amount, ttl_us: COUNT_TTL_US });
         }
@@ -557,7 +568,12 @@
     /// What all have used in the count's life, beside what filled in since, is the store's level. What
     /// overflowed while it was full is made up for in the count.
     fn on_counted(&mut self, name: &str, status: Status, total: f64, out: &mut Vec<Action>) {
-        let Some((customer, amount, wanted, sent)) = self.counting.remove(name) else { return };
+        let Some(calls) = self.counting.get_mut(name) else { return };
+        let Some(Called { customer, amount, sent }) = calls.pop_front() else { return };
+        let still_out: f64 = calls.iter().map(|c| c.amount).sum();
+        if calls.is_empty() {
+            self.counting.remove(name);
+        }
         let quick = status == Status::Served && self.now.saturating_sub(sent) <= SLOW_CALL_US;
         // No connection, or one that broke, says nothing of how busy the counter is.
         if !matches!(status, Status::ConnectionLost | Status::NoConnection) {
@@ -569,7 +585,7 @@
         if let Some(digits) = c.digits.filter(|_| heard) {
             let (mine, others) = digits.read(total);
             let open = f64::from(c.open);
-            c.unposted = if digits.mine < digits.width { open - mine } else { 0.0 };
+            c.unposted = if digits.mine < digits.width { open - mine - still_out } else { 0.0 };
             c.level = (q.most - others - open).clamp(-q.most, q.most);
             (c.heard_at, c.at) = (Some(self.now), self.now);
             // Guards against places that two gateways see free at once: each held request has its place in the count
@@ -581,7 +597,8 @@
         } else if heard {
             let life = sent / COUNT_TTL_US;
             let filled = if q.places { 0.0 } else { q.rate * (sent % COUNT_TTL_US) as f64 / 1e6 };
-            let (most, mut level) = (q.most, q.most + filled - (total - wanted));
+            // What this gateway wanted and has not used yet is untold, below nothing.
+            let (most, mut level) = (q.most, q.most + filled - total - c.unposted - still_out);
             // Guards against a second burst for everyone at the turn of lives, or when the counter has lost what it
             // held: a new count carries on from the level that was known, and what the others have not used since.
             let anew = |(last, old): (u64, f64)| last != life || old > most && total - amount < old / 4.0;
@@ -736,6 +753,7 @@
     units: f64,
     draws: f64, // of the quota's store
     deadline: Micros,
+    unsent_by: Micros, // with nothing sent it is answered by then
     attempts: Vec<Attempt>,
     closed: bool,
     streaming: bool,
@@ -800,7 +818,11 @@
         let k = &self.set.classes[class];
         let useful = if k.late_worth > 0.0 { Micros::MAX } else { k.aim_us };
         let deadline = now.saturating_add(r.patience_us.min(useful));
-        let p = Pending { class, cell, customer: tag, units, draws, deadline, ..Pending::default() };
+        // An answer after half of its time costs more where nothing was sent: nobody can try elsewhere any more.
+        let unsent_by =
+            now.saturating_add(r.patience_us / 100 * UNSENT_PERCENT).min(deadline - MARGIN_US.min(deadline));
+        let p =
+            Pending { class, cell, customer: tag, units, draws, deadline, unsent_by, ..Pending::default() };
         self.requests.insert(r.id, p);
         self.decide(r.id, false, out);
     }
@@ -847,18 +869,20 @@
     fn dispatch(&mut self, id: RequestId, out: &mut Vec<Action>) {
         let Some(p) = self.requests.get(&id) else { return };
         let (now, class, left) = (self.now, p.class, p.deadline.saturating_sub(self.now));
-        let (first, customer, cell) = (p.attempts.is_empty(), p.customer, p.cell);
+        let (first, customer, cell, unsent_by) = (p.attempts.is_empty(), p.customer, p.cell, p.unsent_by);
         let spent = p.attempts.len() as u32 >= self.set.max_attempts || self.retry_tokens < 1.0;
         let choice = if first || !spent && left > MARGIN_US { self.choose(id) } else { None };
-        if choice.is_none() && (!first || left <= MARGIN_US) || first && choice.is_some() && !self.draw(id) {
+        let late = now >= unsent_by;
+        if choice.is_none() && (!first || late) || first && choice.is_some() && !self.draw(id) {
             return self.finish(id, self.bound(class), out);
         }
         let Some((server, room)) = choice else {
-            // Nothing to send to: held until the list changes, answered before its client leaves.
-            let timer = Action::SetTimer { after_us: left - MARGIN_US, timer: Timer::Request(id) };
+            // Nothing to send to: held until the list changes, answered while its client can still try elsewhere.
+            let timer = Action::SetTimer { after_us: unsent_by - now, timer: Timer::Request(id) };
             return out.extend(self.waiting.insert(id).then_some(timer));
         };
         self.cells[cell].admitted += f64::from(u8::from(first));
+        let bound = self.attempt_bound(id, left);
         self.retry_tokens = (self.retry_tokens + if first { RETRY_SHARE } else { -1.0 }).min(RETRY_MOST);
         self.waiting.remove(&id);
         self.send_rate.add(now, RATE_TAU_US, 1.0);
@@ -871,7 +895,24 @@
         s.credit = (room - 1.0, now);
         let group = s.group.clone();
         p.attempts.push(Attempt { server: server.clone(), group, sent: now, may_have_run: None });
-        out.push(Action::Send { request: id, server, timeout_us: left });
+        out.push(Action::Send { request: id, server, timeout_us: bound.unwrap_or(left) });
+    }
+
+    /// Guards against silent servers: an attempt that takes much longer than is usual for its units ends while there
+    /// is time for another, if there may be one elsewhere. None: it has all the time that is left.
+    fn attempt_bound(&self, id: RequestId, left: Micros) -> Option<Micros> {
+        let p = self.requests.get(&id)?;
+        let l = &self.latency[p.class];
+        let usual = l.mean * (p.units / l.units.max(1e-9)).max(1.0);
+        let bound = (usual * PATIENT).max(left as f64 * LEAST_BOUND) as Micros;
+        let again = self.retry_tokens >= 1.0 && (p.attempts.len() as u32) + 1 < self.set.max_attempts;
+        let may = match self.set.classes[p.class].effect {
+            Effect::Repeatable => true,
+            Effect::Keyed { .. } => self.ready().count() > 1,
+            Effect::Once => false,
+        };
+        (again && may && l.mean > 0.0 && bound as f64 + usual + MARGIN_US as f64 <= left as f64)
+            .then_some(bound)
     }
 
     /// The final answer: refused where the effect rule allows it, with a wait, else failed.
--- a/tests/mechanism.rs
+++ b/tests/mechanism.rs
@@ -349,6 +349,44 @@
     }
 }
 
+/// Guards against an answer that is taken for another call's: with two out for one customer a place would stay taken.
+#[test]
+fn two_calls_that_are_out_are_told_apart() {
+    let mut settings = counted(2);
+    (settings.plans[0].rate, settings.plans[0].burst, settings.plans[0].max_open) = (0.0, 0.0, 4);
+    let mut rig = Rig::with_servers(settings, 4);
+    let mut total = 0.0;
+    let counts = |actions: &[Action]| {
+        let count = |a: &Action| match a {
+            Action::Count { name, amount, .. } => Some((name.clone(), *amount)),
+            _ => None,
+        };
+        actions.iter().filter_map(count).collect::<Vec<_>>()
+    };
+    // The answer does not come while the request can wait for it, and the next request calls anew.
+    let (first, actions) = rig.ask(|r| r.width = 2);
+    let mut out = counts(&actions);
+    rig.now += 100_000;
+    let after = rig.tell(Event::Timer(Timer::Request(first)));
+    out.extend(counts(&after));
+    out.extend(counts(&rig.ask(|r| r.width = 2).1));
+    assert!(out.len() >= 2, "{out:?}");
+    let mut sends = Vec::new();
+    while !out.is_empty() {
+        let (name, amount) = out.remove(0);
+        total += amount;
+        let actions = rig.tell(Event::Counted { name, status: Status::Served, total });
+        out.extend(counts(&actions));
+        sends.extend(sent(&actions));
+    }
+    let mut open = sends.len() + usize::from(sent(&after).is_some());
+    for _ in 0..8 {
+        let (_, actions) = rig.ask(|r| r.width = 2);
+        open += usize::from(settle(&mut rig, actions, &mut total).is_some());
+    }
+    assert_eq!((open, total), (4, 4.0));
+}
+
 /// Guards against one place that two gateways see free at once.
 #[test]
 fn a_place_is_taken_in_the_count_before_anything_is_sent() {
@@ -404,3 +442,42 @@
     let then = open(&mut rig, &mut total).len();
     assert_eq!(then, 4, "all places are back");
 }
+
+/// Guards against one silent server that eats all the time a request has.
+#[test]
+fn an_attempt_ends_while_another_may_follow() {
+    let mut rig = Rig::with_servers(Settings::example(), 3);
+    let time_out = |actions: &[Action]| {
+        actions.iter().find_map(|a| match a {
+            Action::Send { timeout_us, .. } => Some(*timeout_us),
+            _ => None,
+        })
+    };
+    let (_, actions) = rig.request("c");
+    assert_eq!(time_out(&actions), Some(1_000_000), "nothing is known of what is usual");
+    run(&mut rig, 10, 50_000);
+    rig.interval();
+    let (id, actions) = rig.request("d");
+    let bound = time_out(&actions).expect("it is sent");
+    assert!((200_000..=500_000).contains(&bound), "{bound}");
+    let server = sent(&actions).expect("it is sent");
+    let actions = rig.outcome(id, 0, &server, Status::NoAnswer, bound);
+    assert!(sent(&actions).is_some_and(|other| other != server), "{actions:?}");
+}
+
+/// Guards against an answer that comes too late for its client to try elsewhere.
+#[test]
+fn a_request_that_no_server_can_take_is_answered_before_half_of_its_time_is_over() {
+    let mut settings = Settings::example();
+    settings.classes[0].late_worth = 1.0;
+    let mut rig = Rig::new(settings);
+    let (id, actions) = rig.request("c");
+    let wait = actions.iter().find_map(|a| match a {
+        Action::SetTimer { after_us, timer } if *timer == Timer::Request(id) => Some(*after_us),
+        _ => None,
+    });
+    let wait = wait.expect("it waits for a server");
+    assert!((1_000_000..2_000_000).contains(&wait), "{wait}");
+    rig.now += wait;
+    assert!(refused(&rig.tell(Event::Timer(Timer::Request(id)))));
+}
