Spread counter calls over connections, leave silent ones soon, lower the call rate once

Ruled out: a slow or busy counter (median equals least answer time, no `busy`).

At fault: Calls::learn, one cut a call; counter.rs, one connection with 1 s of blindness. - The rate is lowered once for calls that were out together, is won back by time too, and "slow" goes by the least answer time where that is long. - A call goes to the connection with the fewest calls out, of eight at most; one that is silent for four usual answer times is left.

--- a/gateway/src/counter.rs
+++ b/gateway/src/counter.rs
@@ -1,11 +1,16 @@
-//! Calls to the shared counter, written one behind another on one connection; answers come in their order.
+//! Calls to the shared counter, over a few connections; on each, answers come in the order of the calls.
 
 use crate::config::Addresses;
 use crate::driver::Driver;
+use std::cell::Cell;
 use std::collections::VecDeque;
 use std::fmt::Write;
+use std::future::{pending, poll_fn, Future};
 use std::io;
+use std::net::SocketAddr;
+use std::pin::Pin;
 use std::rc::Rc;
+use std::task::Poll;
 use std::time::Duration;
 use tokio::net::TcpStream;
 use tokio::sync::{mpsc, watch};
@@ -15,9 +20,22 @@
 const CONNECT: Duration = Duration::from_millis(250);
 const BACKOFF_LEAST: Duration = Duration::from_millis(50);
 const BACKOFF_MOST: Duration = Duration::from_secs(1);
-/// The oldest call's answer is this late: the connection is of no further use.
-const SILENT: Duration = Duration::from_secs(1);
-/// Calls that wait on the connection at most; beyond it a call is turned away here.
+/// With calls out and nothing heard for so many times the usual answer time, a connection is held to have fallen
+/// silent. Guards against any peer that stops answering without a close: a lost machine, a stuck proxy, a dropped path.
+/// It could do harm where the whole counter pauses for as long: what is out is lost, and a new connection waits for
+/// the same counter. One that has heard nothing yet is followed by a growing pause, so that connections stay few.
+const SILENT_TIMES: f64 = 4.0;
+/// The same in shares of the patience, whatever is usual: a moment's delay on a quick counter is no silence...
+const SILENT_LEAST: f64 = 0.4;
+/// ...and nobody waits for longer, however slow it was.
+const SILENT_MOST: Duration = Duration::from_secs(1);
+/// Weight of one answer in the usual answer time: about the last ten.
+const USUAL_WEIGHT: f64 = 0.1;
+/// Growth of the usual answer time with each connection that falls silent.
+const USUAL_GROWTH: f64 = 1.5;
+/// Connections at most: the counter holds 32 of a gateway, and some may still be ending.
+const LINES: usize = 8;
+/// Calls that wait on a connection at most; beyond it a call is turned away here.
 pub const MOST_OUT: usize = 1_024;
 /// A line without an end that is longer than this is nonsense.
 const LINE_BYTES: usize = 256;
@@ -38,68 +56,152 @@
     end: u64,
 }
 
-/// Makes calls for good, over one connection at a time, wherever the counter stands.
+/// Makes calls for good, wherever the counter stands.
 pub async fn run(
     mut addresses: watch::Receiver<Addresses>,
     patience: Duration,
     mut calls: mpsc::Receiver<Call>,
     driver: Rc<Driver>,
 ) {
-    let mut backoff = BACKOFF_LEAST;
+    let mut pool = Pool {
+        driver,
+        patience,
+        // Nothing is known yet: an answer may take as long as a call waits.
+        usual: Rc::new(Cell::new(patience)),
+        lines: Vec::new(),
+        dial: None,
+        backoff: BACKOFF_LEAST,
+        not_before: Instant::now(),
+    };
     loop {
-        let Some(address) = addresses.borrow_and_update().counter else {
-            match turning_away(addresses.changed(), &mut calls, &driver).await {
-                Ok(()) => continue,
+        let address = addresses.borrow_and_update().counter;
+        tokio::select! {
+            () = pool.serve(address, &mut calls) => return,
+            moved = addresses.wait_for(|now| now.counter != address) => match moved {
+                Ok(_) => {}
                 Err(_) => return,
+            },
+        }
+        pool.leave();
+    }
+}
+
+/// A connection that is being made: since when, and what comes of it.
+type Dial = (Instant, Pin<Box<dyn Future<Output = Option<TcpStream>>>>);
+
+/// The connections to the counter. A call goes where the fewest are out, as a rule none: a connection that falls silent
+/// or breaks takes no others along. A counter that is slow needs more of them, but never more than `LINES`.
+struct Pool {
+    driver: Rc<Driver>,
+    patience: Duration,
+    /// How long an answer takes, on whichever connection.
+    usual: Rc<Cell<Duration>>,
+    lines: Vec<Line>,
+    dial: Option<Dial>,
+    backoff: Duration,
+    /// The counter rests from new connections until then.
+    not_before: Instant,
+}
+
+impl Pool {
+    /// Serves calls until nobody makes any more.
+    async fn serve(&mut self, address: Option<SocketAddr>, calls: &mut mpsc::Receiver<Call>) {
+        loop {
+            if let Some(address) = address {
+                self.connect(address);
             }
-        };
-        let connected = {
-            let mut connect = std::pin::pin!(timeout(CONNECT, TcpStream::connect(address)));
+            let now = Instant::now();
             // A connection is there in no time as a rule, and calls can wait for it.
-            match timeout(patience / 2, connect.as_mut()).await {
-                Ok(connected) => connected,
-                Err(_) => turning_away(connect, &mut calls, &driver).await,
-            }
-        };
-        if let Ok(Ok(stream)) = connected {
-            let mut line = Line::new(stream, patience);
-            let moved = tokio::select! {
-                () = line.serve(&mut calls, &driver) => false,
-                moved = addresses.wait_for(|now| now.counter != Some(address)) => moved.is_ok(),
-            };
-            if moved {
-                // What is out at the old one may end; new calls go to the new one.
-                tokio::task::spawn_local(line.finish(driver.clone()));
-                backoff = BACKOFF_LEAST;
-                continue;
-            }
-            line.give_up(&driver);
-            if line.heard {
-                backoff = BACKOFF_LEAST;
-                continue;
+            let soon = self.dial.as_ref().map(|(since, _)| *since + self.patience / 2);
+            let soon = soon.filter(|&t| self.lines.is_empty() && t > now);
+            let wake = soon.unwrap_or(self.not_before);
+            tokio::select! {
+                call = calls.recv(), if soon.is_none() => match call {
+                    Some(call) => self.call(call),
+                    None => return,
+                },
+                () = sleep_until(wake), if wake > now => {}
+                stream = dialled(&mut self.dial) => {
+                    self.dial = None;
+                    match stream {
+                        Some(stream) => self.lines.push(Line::new(stream, self.patience, self.usual.clone())),
+                        None => self.back_off(),
+                    }
+                }
+                (n, done) = any_step(&mut self.lines, &self.driver) => if done.is_err() {
+                    self.end(n);
+                },
             }
         }
-        let pause = async {
-            let _ = timeout(backoff, addresses.changed()).await;
+    }
+
+    /// Makes another connection where all have calls out. While one has heard nothing yet there is no other: they
+    /// must not multiply where it is the counter that is silent.
+    fn connect(&mut self, address: SocketAddr) {
+        let wanted = self.lines.iter().all(|l| l.heard_at.is_some() && !l.waiting.is_empty());
+        let may = self.lines.len() < LINES && self.dial.is_none() && self.not_before <= Instant::now();
+        if wanted && may {
+            let connect = async move { timeout(CONNECT, TcpStream::connect(address)).await.ok()?.ok() };
+            self.dial = Some((Instant::now(), Box::pin(connect)));
+        }
+    }
+
+    fn call(&mut self, call: Call) {
+        // Answers for one name come in the order of its calls, which no two connections keep.
+        let same = |l: &Line| l.waiting.iter().any(|w| w.name.as_ref() == Some(&call.name));
+        let fewest = || (0..self.lines.len()).min_by_key(|&n| self.lines[n].waiting.len());
+        let Some(n) = self.lines.iter().position(same).or_else(fewest) else {
+            return self.driver.counted(call.name, Status::NoConnection, 0.0);
         };
-        turning_away(pause, &mut calls, &driver).await;
-        backoff = (backoff * 2).min(BACKOFF_MOST);
+        self.lines[n].add(call, &self.driver);
+        if self.lines[n].write().is_err() {
+            self.end(n);
+        }
     }
-}
 
-/// Until `done`, every call ends at once: there is no connection.
-async fn turning_away<F: std::future::Future>(
-    done: F,
-    calls: &mut mpsc::Receiver<Call>,
-    driver: &Rc<Driver>,
-) -> F::Output {
-    let mut done = std::pin::pin!(done);
-    loop {
-        tokio::select! {
-            out = &mut done => return out,
-            Some(call) = calls.recv() => driver.counted(call.name, Status::NoConnection, 0.0),
+    /// A connection broke or fell silent.
+    fn end(&mut self, n: usize) {
+        let mut line = self.lines.swap_remove(n);
+        match line.heard_at {
+            Some(_) => self.backoff = BACKOFF_LEAST,
+            None => self.back_off(),
         }
+        line.give_up(&self.driver);
+    }
+
+    fn back_off(&mut self) {
+        self.not_before = Instant::now() + self.backoff;
+        self.backoff = (self.backoff * 2).min(BACKOFF_MOST);
     }
+
+    /// The counter has moved: what is out at the old one may end; new calls go to the new one.
+    fn leave(&mut self) {
+        for line in self.lines.drain(..) {
+            tokio::task::spawn_local(line.finish(self.driver.clone()));
+        }
+        (self.dial, self.backoff, self.not_before) = (None, BACKOFF_LEAST, Instant::now());
+    }
+}
+
+async fn dialled(dial: &mut Option<Dial>) -> Option<TcpStream> {
+    match dial {
+        Some((_, stream)) => stream.await,
+        None => pending().await,
+    }
+}
+
+/// The next step of whichever connection comes first.
+async fn any_step(lines: &mut [Line], driver: &Rc<Driver>) -> (usize, io::Result<()>) {
+    let mut steps: Vec<_> = lines.iter_mut().map(|l| Box::pin(l.step(driver))).collect();
+    poll_fn(|cx| {
+        for (n, step) in steps.iter_mut().enumerate() {
+            if let Poll::Ready(done) = step.as_mut().poll(cx) {
+                return Poll::Ready((n, done));
+            }
+        }
+        Poll::Pending
+    })
+    .await
 }
 
 struct Line {
@@ -109,11 +211,12 @@
     outgoing: Vec<u8>,
     incoming: Vec<u8>,
     written: u64,
-    heard: bool,
+    heard_at: Option<Instant>,
+    usual: Rc<Cell<Duration>>,
 }
 
 impl Line {
-    fn new(stream: TcpStream, patience: Duration) -> Self {
+    fn new(stream: TcpStream, patience: Duration, usual: Rc<Cell<Duration>>) -> Self {
         let _ = stream.set_nodelay(true);
         Line {
             stream,
@@ -122,23 +225,8 @@
             outgoing: Vec::new(),
             incoming: Vec::new(),
             written: 0,
-            heard: false,
-        }
-    }
-
-    /// Serves calls until the connection ends or is of no further use.
-    async fn serve(&mut self, calls: &mut mpsc::Receiver<Call>, driver: &Rc<Driver>) {
-        loop {
-            let done = tokio::select! {
-                Some(call) = calls.recv() => {
-                    self.add(call, driver);
-                    self.write()
-                }
-                done = self.step(driver) => done,
-            };
-            if done.is_err() {
-                return;
-            }
+            heard_at: None,
+            usual,
         }
     }
 
@@ -151,7 +239,7 @@
     /// Waits for what comes next on the connection and does it.
     async fn step(&mut self, driver: &Rc<Driver>) -> io::Result<()> {
         let oldest = self.waiting.iter().find(|w| w.name.is_some()).map(|w| w.since + self.patience);
-        let silent = self.waiting.front().map(|w| w.since + SILENT);
+        let silent = self.silent_at();
         let due = oldest.into_iter().chain(silent).min();
         let far = Instant::now() + Duration::from_secs(3_600);
         tokio::select! {
@@ -163,6 +251,9 @@
             () = sleep_until(due.unwrap_or(far)), if due.is_some() => {
                 self.expire(driver);
                 if silent.is_some_and(|t| t <= Instant::now()) {
+                    // Guards against a counter that has become this slow: with less patience none of its answers
+                    // would be heard any more.
+                    self.usual.set(self.usual.get().mul_f64(USUAL_GROWTH).min(self.patience));
                     return Err(io::ErrorKind::TimedOut.into());
                 }
             }
@@ -170,6 +261,15 @@
         self.write()
     }
 
+    /// When the connection is held to have fallen silent, unless something is heard. Calls that wait in a busy
+    /// counter's line are no silence: answers to those ahead of them come.
+    fn silent_at(&self) -> Option<Instant> {
+        let since = self.waiting.front()?.since;
+        let least = self.patience.mul_f64(SILENT_LEAST);
+        let most = self.usual.get().mul_f64(SILENT_TIMES).max(least).min(SILENT_MOST);
+        Some(self.heard_at.map_or(since, |at| at.max(since)) + most)
+    }
+
     fn add(&mut self, call: Call, driver: &Rc<Driver>) {
         if self.waiting.len() >= MOST_OUT {
             return driver.counted(call.name, Status::TurnedAway, 0.0);
@@ -201,7 +301,7 @@
             match self.stream.try_read(&mut chunk) {
                 Ok(0) => return Err(io::ErrorKind::UnexpectedEof.into()),
                 Ok(n) => {
-                    self.heard = true;
+                    self.heard_at = Some(Instant::now());
                     self.incoming.extend_from_slice(&chunk[..n]);
                 }
                 Err(e) if e.kind() == io::ErrorKind::WouldBlock => break,
@@ -231,6 +331,8 @@
             _ => return Err(io::ErrorKind::InvalidData.into()),
         };
         let waiting = self.waiting.pop_front().ok_or(io::ErrorKind::InvalidData)?;
+        let took = waiting.since.elapsed().min(SILENT_MOST);
+        self.usual.set(self.usual.get().mul_f64(1.0 - USUAL_WEIGHT) + took.mul_f64(USUAL_WEIGHT));
         if let Some(name) = waiting.name {
             driver.counted(name, status, total);
         }
--- a/gateway/tests/counting.rs
+++ b/gateway/tests/counting.rs
@@ -3,7 +3,7 @@
 mod common;
 use common::*;
 use std::net::TcpListener;
-use std::thread::sleep;
+use std::thread::{self, sleep};
 use std::time::Duration;
 
 /// A request of a customer whose other gateway counts too, on the plan that fills slowly.
@@ -99,6 +99,26 @@
     }
 }
 
+/// One connection after another falls silent, each with a call out: the others and the rate of calls must not suffer.
+#[test]
+fn connections_that_fall_silent_take_no_other_calls_along() {
+    const LOST: u32 = 40;
+    let lost: Vec<String> = (0..LOST).map(tag).collect();
+    let counter = Counter::new(move |_, line| match lost.iter().any(|tag| line.contains(tag)) {
+        true => Some((LONG, "ok 1000000".into())),
+        false => Some((Duration::ZERO, "ok 1000000".into())),
+    });
+    let (_server, gateway) = stage(&counter);
+    first_call(&gateway, &counter);
+    let ask = |customer| gateway.ask(&shared(customer)).status();
+    thread::scope(|s| (0..LOST).for_each(|customer| drop(s.spawn(move || ask(customer)))));
+    // Told that all is used up a request is refused; untold each of these would be passed on.
+    let again = (2_000..2_400).find(|&customer| (ask(customer) == 429, sleep(Duration::from_millis(50))).0);
+    assert!(again.is_some());
+    let told = (100..140).filter(|&customer| ask(customer) == 429).count();
+    assert!(told >= 20, "the counter was asked for {told} of 40");
+}
+
 #[test]
 fn a_counter_that_comes_back_is_used_again() {
     let counter = Counter::new(|n, _| (n > 0).then(|| (Duration::ZERO, "ok 1000000".into())));
--- a/src/control.rs
+++ b/src/control.rs
@@ -33,9 +33,11 @@
 const COUNT_EXACT: f64 = 5e6; // of a total seven digits are exact, of either sign
 const CALLS_START: f64 = 1500.0; // calls a second to the counter, all gateways, until its answers tell more
 const CALLS_LEAST: f64 = 0.2; // calls a second that are always tried, to see it recover
+const CALLS_BACK: f64 = 20.0; // calls a second that a second of quick answers wins back, however few they were
 const LOW_US: Micros = 300_000; // µs; a count out of step for so long is not being put right by who spoilt it
 const FIXERS: u32 = 4; // one in so many calls that finds a count out of step sets it right
-const SLOW_CALL_US: Micros = 30_000; // µs; an answer later than this says that calls wait in line
+const SLOW_CALL_US: Micros = 30_000; // µs; an answer later than this may say that calls wait in line...
+const SLOW_CALL: f64 = 2.0; // ...and later than so many of the least answer time, which may be long by itself
 const IDLE_US: Micros = 30_000_000; // µs; an idle customer is forgotten: a store of seconds is full again
 const CUSTOMERS_MAX: usize = 24_576; // remembered at most, about 10 MB; others are refused until some age out
 const RETRY_AFTER_MIN_US: f64 = 100_000.0; // µs; shortest retry-after: less is no rest for anyone
@@ -415,6 +417,9 @@
     rate: f64,
     tokens: f64,
     at: Micros,
+    least_us: f64, // least answer time of late
+    learned_at: Micros,
+    lowered_at: Micros,
 }
 
 impl Calls {
@@ -427,10 +432,20 @@
         may
     }
 
-    /// Slow, refused and lost calls lower the rate, quick ones win it back.
-    fn learn(&mut self, quick: bool) {
-        let (up, down) = ((self.rate * 1.05 + 0.1).min(CALLS_START), (self.rate * 0.8).max(CALLS_LEAST));
-        self.rate = if quick { up } else { down };
+    /// Slow, refused and unanswered calls lower the rate; quick ones win it back, by number and by time. Those that
+    /// were out together tell of one moment, and lower it once: guards against any pause that spoils many calls at
+    /// once. Lowers too slowly where a counter loses most of its capacity while many calls are out.
+    fn learn(&mut self, now: Micros, sent: Micros, status: Status) {
+        let (took, s) = ((now - sent) as f64, (now - self.learned_at).min(1_000_000) as f64 / 1e6);
+        let served = status == Status::Served;
+        let least = self.least_us * (1.0 + (FLOOR_DRIFT - 1.0) * s);
+        self.least_us = if served { least.min(took) } else { least };
+        self.learned_at = now;
+        if served && took <= (SLOW_CALL * self.least_us).max(SLOW_CALL_US as f64) {
+            self.rate = (self.rate * 1.05 + CALLS_BACK * s).min(CALLS_START);
+        } else if sent >= self.lowered_at {
+            (self.rate, self.lowered_at) = ((self.rate * 0.8).max(CALLS_LEAST), now);
+        }
     }
 }
 
@@ -574,10 +589,9 @@
         if calls.is_empty() {
             self.counting.remove(name);
         }
-        let quick = status == Status::Served && self.now.saturating_sub(sent) <= SLOW_CALL_US;
         // No connection, or one that broke, says nothing of how busy the counter is.
         if !matches!(status, Status::ConnectionLost | Status::NoConnection) {
-            self.calls.learn(quick);
+            self.calls.learn(self.now, sent, status);
         }
         let Some(c) = self.customers.get_mut(&customer) else { return };
         let q = self.quotas[c.plan];
@@ -1027,7 +1041,14 @@
             odds: vec![Default::default(); set.plans.len()],
             quotas: Vec::new(),
             attempt_s: 0.0,
-            calls: Calls { rate: CALLS_START / f64::from(set.gateways), tokens: 1.0, at: 0 },
+            calls: Calls {
+                rate: CALLS_START / f64::from(set.gateways),
+                tokens: 1.0,
+                at: 0,
+                least_us: f64::MAX,
+                learned_at: 0,
+                lowered_at: 0,
+            },
             cells,
             latency: vec![ClassLatency::default(); set.classes.len()],
             done: 0.0,
--- a/tests/mechanism.rs
+++ b/tests/mechanism.rs
@@ -481,3 +481,31 @@
     rig.now += wait;
     assert!(refused(&rig.tell(Event::Timer(Timer::Request(id)))));
 }
+
+#[test]
+fn calls_lost_at_one_moment_lower_the_rate_of_calls_once() {
+    let calls_after = |lost: usize| {
+        let mut rig = Rig::with_servers(counted(2), 4);
+        let mut customer = 0;
+        let mut ask = |rig: &mut Rig| {
+            customer += 1;
+            let (_, actions) =
+                rig.ask(|r| (r.width, r.customer) = (2, CustomerId(format!("c{customer}").into())));
+            actions.into_iter().find_map(|a| match a {
+                Action::Count { name, .. } => Some(name),
+                _ => None,
+            })
+        };
+        rig.now += 1_000_000;
+        let out: Vec<String> = (0..lost).filter_map(|_| ask(&mut rig)).collect();
+        assert_eq!(out.len(), lost);
+        rig.now += 50_000;
+        for name in out {
+            rig.tell(Event::Counted { name, status: Status::NoAnswer, total: 0.0 });
+        }
+        rig.now += 100_000;
+        (0..1_000).filter(|_| ask(&mut rig).is_some()).count()
+    };
+    let (one, many) = (calls_after(1), calls_after(100));
+    assert!(many * 10 > one * 5, "{many} calls after a hundred were lost, {one} after one");
+}
