--- a/src/control.rs
+++ b/src/control.rs
@@ -33,6 +33,9 @@
 const COUNT_EXACT: f64 = 5e6; // of a total seven digits are exact, of either sign
 const CALLS_START: f64 = 1500.0; // calls a second to the counter, all gateways, until its answers tell more
 const CALLS_LEAST: f64 = 0.2; // calls a second that are always tried, to see it recover
+const CALLS_AT_ONCE: f64 = 4.0; // calls saved up at least, for a rush...
+const CALLS_AT_ONCE_S: f64 = 0.05; // s; ...or what is answered while one is awaited
+const POSTS_SPARE: f64 = 0.5; // of the calls saved up that telling of use leaves to asks and places
 const CALLS_BACK: f64 = 20.0; // calls a second that a second of quick answers wins back, however few they were
 const LOW_US: Micros = 300_000; // µs; a count out of step for so long is not being put right by who spoilt it
 const FIXERS: u32 = 4; // one in so many calls that finds a count out of step sets it right
@@ -417,35 +420,43 @@
     rate: f64,
     tokens: f64,
     at: Micros,
-    least_us: f64, // least answer time of late
-    learned_at: Micros,
-    lowered_at: Micros,
+    moved_at: Micros,
+    least_us: [f64; 2], // least answer time in this interval and in the one before
 }
 
 impl Calls {
-    fn take(&mut self, now: Micros) -> bool {
-        let s = now.saturating_sub(self.at) as f64 / 1e6;
-        self.tokens = (self.tokens + self.rate * s).min(1.0 + self.rate / 4.0);
+    fn saved(&self) -> f64 {
+        (self.rate * CALLS_AT_ONCE_S).max(CALLS_AT_ONCE)
+    }
+
+    /// No more at once than are answered while one waits; `spared` of these are left for calls that matter more.
+    fn take(&mut self, now: Micros, spared: f64) -> bool {
+        let (s, most) = (now.saturating_sub(self.at) as f64 / 1e6, self.saved());
+        self.tokens = (self.tokens + self.rate * s).min(1.0 + most);
         self.at = now;
-        let may = self.tokens >= 1.0;
+        let may = self.tokens >= 1.0 + spared * most;
         self.tokens -= f64::from(u8::from(may));
         may
     }
 
-    /// Slow, refused and unanswered calls lower the rate; quick ones win it back, by number and by time. Those that
-    /// were out together tell of one moment, and lower it once: guards against any pause that spoils many calls at
-    /// once. Lowers too slowly where a counter loses most of its capacity while many calls are out.
+    /// Slow, refused and unanswered calls lower the rate, quick ones raise it where it binds, in steps and by time.
+    /// Only calls made since the last move tell of the present rate: those that were out together move it once. Guards
+    /// against any pause that spoils many calls at once; lowers too slowly where a counter loses most of its capacity.
     fn learn(&mut self, now: Micros, sent: Micros, status: Status) {
-        let (took, s) = ((now - sent) as f64, (now - self.learned_at).min(1_000_000) as f64 / 1e6);
+        let (took, s) = ((now - sent) as f64, (now - self.moved_at).min(1_000_000) as f64 / 1e6);
         let served = status == Status::Served;
-        let least = self.least_us * (1.0 + (FLOOR_DRIFT - 1.0) * s);
-        self.least_us = if served { least.min(took) } else { least };
-        self.learned_at = now;
-        if served && took <= (SLOW_CALL * self.least_us).max(SLOW_CALL_US as f64) {
-            self.rate = (self.rate * 1.05 + CALLS_BACK * s).min(CALLS_START);
-        } else if sent >= self.lowered_at {
-            (self.rate, self.lowered_at) = ((self.rate * 0.8).max(CALLS_LEAST), now);
+        if served {
+            self.least_us[0] = self.least_us[0].min(took);
+        }
+        // What is usual goes by the last seconds: a counter that has become slow by itself is still worth asking.
+        let least = self.least_us[0].min(self.least_us[1]);
+        let quick = served && took <= (SLOW_CALL * least).max(SLOW_CALL_US as f64);
+        if sent < self.moved_at || quick && self.tokens > 1.0 + self.saved() / 2.0 {
+            return;
         }
+        let (up, down) = (self.rate * 1.05 + CALLS_BACK * s, self.rate * 0.8);
+        self.rate = if quick { up } else { down }.clamp(CALLS_LEAST, CALLS_START);
+        self.moved_at = now;
     }
 }
 
@@ -472,7 +483,7 @@
         // Where a "no" is likely it only reads: what is not added need not be taken back.
         let unlikely = self.set.counter && c.heard(self.now) && c.level < units;
         let ask = c.asking == 0;
-        if ask && self.set.counter && !self.calls.take(self.now) {
+        if ask && self.set.counter && !self.calls.take(self.now, 0.0) {
             return false;
         } else if ask {
             self.send_ask(customer, if unlikely { 0.0 } else { units }, out);
@@ -507,10 +518,10 @@
     /// Tells what was used unasked or asked for in vain: in lumps while the store is full, else at once.
     fn post(&mut self, customer: u32, out: &mut Vec<Action>) {
         let Some(c) = self.customers.get(&customer) else { return };
-        let most = self.quotas[c.plan].most;
+        let (most, spared) = (self.quotas[c.plan].most, if c.digits.is_some() { 0.0 } else { POSTS_SPARE });
         let lump = (POST_SHARE * most / f64::from(c.width)).max(0.01);
         let due = c.unposted.abs() >= if c.level < most / 2.0 { 0.01 } else { lump };
-        if due && !c.kept && c.asking == 0 && (!self.set.counter || self.calls.take(self.now)) {
+        if due && !c.kept && c.asking == 0 && (!self.set.counter || self.calls.take(self.now, spared)) {
             self.send_ask(customer, 0.0, out);
         }
     }
@@ -605,7 +616,7 @@
             // Guards against places that two gateways see free at once: each held request has its place in the count
             // before it is sent.
             let places = c.level.min(c.held.len() as f64);
-            if digits.mine < digits.width && places + c.unposted >= 1.0 && self.calls.take(self.now) {
+            if digits.mine < digits.width && places + c.unposted >= 1.0 && self.calls.take(self.now, 0.0) {
                 return self.send_ask(customer, places, out);
             }
         } else if heard {
@@ -999,6 +1010,7 @@
     fn on_timer(&mut self, timer: Timer, out: &mut Vec<Action>) {
         match timer {
             Timer::Interval => {
+                self.calls.least_us = [f64::MAX, self.calls.least_us[0]];
                 out.extend(self.move_fractions().map(Action::Log));
                 let idle = |c: &Customer| self.now.saturating_sub(c.active_at) >= IDLE_US;
                 self.customers.retain(|_, c| c.open > 0 || !idle(c));
@@ -1045,9 +1057,8 @@
                 rate: CALLS_START / f64::from(set.gateways),
                 tokens: 1.0,
                 at: 0,
-                least_us: f64::MAX,
-                learned_at: 0,
-                lowered_at: 0,
+                moved_at: 0,
+                least_us: [f64::MAX; 2],
             },
             cells,
             latency: vec![ClassLatency::default(); set.classes.len()],
