Let idle connections make room at once when clients' connections are all taken

A trace of the door: from 4 s on 164 of 164 connections are open, 160 of them idle and used within the last 2 s; new ones, with a request on them, wait in the listener's queue. Ruled out: servers (10 at ease), the counter, CPU. At fault: Door::make_room closed no connection that had been idle for under 2 s. When all are taken the one idle longest goes after 50 ms; the next is accepted at once.

--- a/gateway/src/server.rs
+++ b/gateway/src/server.rs
@@ -15,6 +15,7 @@
 use std::time::Duration;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::Notify;
+use tokio::task::yield_now;
 use tokio::time::{sleep, sleep_until, timeout, Instant};
 use turndeck::{CustomerId, Effect, RequestId, Settings};
 
@@ -23,8 +24,11 @@
 const WHOLE_WITHIN: Duration = Duration::from_secs(2);
 /// A connection that has served is kept open for so long without a request.
 const KEPT: Duration = Duration::from_secs(5);
-/// When descriptors run short a connection that has served may be closed after this...
-const KEPT_LEAST: Duration = Duration::from_secs(2);
+/// When descriptors run short a connection that has served may be closed after this: a request that crosses the close is
+/// sent once more, while one on a new connection waits unread for as long as none is closed. Guards against any crowd
+/// that keeps more connections than there is room for. Does harm where all of them ask again and again, more slowly
+/// than this: each then has to connect anew...
+const KEPT_LEAST: Duration = Duration::from_millis(50);
 /// ...and one that has not asked yet after this: clients of ours ask as soon as they connect.
 const ASKS_WITHIN: Duration = Duration::from_millis(300);
 /// A client reads its answer within this.
@@ -90,13 +94,12 @@
     }
 
     /// Ends the connection that has been idle longest, if any has been for long enough.
-    fn make_room(&self) {
+    fn make_room(&self) -> bool {
         let now = Instant::now();
         let idle = self.idle.borrow();
         let may_end = |i: &&Idle| now - i.since >= if i.kept { KEPT_LEAST } else { ASKS_WITHIN };
-        if let Some(longest) = idle.values().filter(may_end).min_by_key(|i| i.since) {
-            longest.end.notify_one();
-        }
+        let longest = idle.values().filter(may_end).min_by_key(|i| i.since);
+        longest.inspect(|i| i.end.notify_one()).is_some()
     }
 
     /// Accepts connections for good.
@@ -104,8 +107,10 @@
         for number in 0.. {
             // Guards against running out of descriptors: those that are idle make room.
             while self.open() >= self.most {
-                self.make_room();
-                sleep(Duration::from_millis(2)).await;
+                match self.make_room() {
+                    true => yield_now().await,
+                    false => sleep(Duration::from_millis(2)).await,
+                }
             }
             match listener.accept().await {
                 Ok((stream, _)) => {
--- a/gateway/tests/clients.rs
+++ b/gateway/tests/clients.rs
@@ -3,7 +3,7 @@
 mod common;
 use common::*;
 use std::thread::sleep;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 fn stage() -> (Server, Gateway) {
     let server = Server::new(|_| ok("served"));
@@ -165,6 +165,19 @@
     assert!(silent[0].answer().is_none(), "the first is closed");
 }
 
+/// Guards against requests that wait unread on new connections while old ones, just used, stand idle.
+#[test]
+fn connections_that_were_used_a_moment_ago_make_room_for_a_crowd() {
+    let (_server, gateway) = stage();
+    let crowd = (0..250).map(|_| {
+        let (since, mut client) = (Instant::now(), gateway.client());
+        assert_eq!(client.ask(&Ask::check().text()).expect("an answer").body, "served");
+        assert!(since.elapsed() < Duration::from_secs(1), "it waits for one of the others to grow old");
+        client
+    });
+    assert_eq!(crowd.collect::<Vec<Client>>().len(), 250);
+}
+
 /// Guards against connections that are kept for good by clients that do not come back.
 #[test]
 fn a_connection_that_nobody_uses_is_closed_in_the_end() {
