Test that a counter grown slow is still asked; places go ahead of use without digits too

Places whose count keeps one sum, in wide fleets, were told after use like units; they free room for others just as digits do.

--- a/src/control.rs
+++ b/src/control.rs
@@ -518,7 +518,8 @@
     /// Tells what was used unasked or asked for in vain: in lumps while the store is full, else at once.
     fn post(&mut self, customer: u32, out: &mut Vec<Action>) {
         let Some(c) = self.customers.get(&customer) else { return };
-        let (most, spared) = (self.quotas[c.plan].most, if c.digits.is_some() { 0.0 } else { POSTS_SPARE });
+        let q = &self.quotas[c.plan];
+        let (most, spared) = (q.most, if q.places { 0.0 } else { POSTS_SPARE });
         let lump = (POST_SHARE * most / f64::from(c.width)).max(0.01);
         let due = c.unposted.abs() >= if c.level < most / 2.0 { 0.01 } else { lump };
         if due && !c.kept && c.asking == 0 && (!self.set.counter || self.calls.take(self.now, spared)) {
--- a/tests/mechanism.rs
+++ b/tests/mechanism.rs
@@ -482,30 +482,55 @@
     assert!(refused(&rig.tell(Event::Timer(Timer::Request(id)))));
 }
 
+/// The name that a call for a customer nobody has heard of yet goes by, if the counter is called.
+fn call_for(rig: &mut Rig, customer: u64) -> Option<String> {
+    let named = |r: &mut Request| (r.width, r.customer) = (2, CustomerId(format!("c{customer}").into()));
+    let (_, actions) = rig.ask(named);
+    actions.into_iter().find_map(|a| match a {
+        Action::Count { name, .. } => Some(name),
+        _ => None,
+    })
+}
+
 #[test]
 fn calls_lost_at_one_moment_lower_the_rate_of_calls_once() {
-    let calls_after = |lost: usize| {
+    let calls_after = |lost: u64| {
         let mut rig = Rig::with_servers(counted(2), 4);
-        let mut customer = 0;
-        let mut ask = |rig: &mut Rig| {
-            customer += 1;
-            let (_, actions) =
-                rig.ask(|r| (r.width, r.customer) = (2, CustomerId(format!("c{customer}").into())));
-            actions.into_iter().find_map(|a| match a {
-                Action::Count { name, .. } => Some(name),
-                _ => None,
-            })
-        };
         rig.now += 1_000_000;
-        let out: Vec<String> = (0..lost).filter_map(|_| ask(&mut rig)).collect();
-        assert_eq!(out.len(), lost);
+        let out: Vec<String> = (0..lost).filter_map(|n| call_for(&mut rig, n)).collect();
+        assert_eq!(out.len() as u64, lost);
         rig.now += 50_000;
         for name in out {
             rig.tell(Event::Counted { name, status: Status::NoAnswer, total: 0.0 });
         }
         rig.now += 100_000;
-        (0..1_000).filter(|_| ask(&mut rig).is_some()).count()
+        (1_000..2_000).filter(|&n| call_for(&mut rig, n).is_some()).count()
     };
     let (one, many) = (calls_after(1), calls_after(30));
     assert!(many * 10 > one * 5, "{many} calls after thirty were lost, {one} after one");
 }
+
+#[test]
+fn a_counter_that_has_become_slow_is_asked_all_the_same() {
+    let mut rig = Rig::with_servers(counted(2), 4);
+    // Ten requests a second, one after another: quick answers, then slow ones though no call waits for another.
+    let mut calls = |took: Micros, first: u64| {
+        (first..first + 100)
+            .filter(|&n| {
+                let called = call_for(&mut rig, n).map(|name| {
+                    rig.now += took;
+                    rig.tell(Event::Counted { name, status: Status::Served, total: 1.0 });
+                });
+                rig.now += 100_000;
+                if n % 10 == 0 {
+                    rig.tell(Event::Timer(Timer::Interval));
+                }
+                called.is_some()
+            })
+            .count()
+    };
+    assert_eq!(calls(5_000, 0), 100);
+    calls(40_000, 1_000);
+    let last = calls(40_000, 2_000);
+    assert!(last > 60, "{last} calls for 100 requests");
+}
