--- a/gateway/src/main.rs
+++ b/gateway/src/main.rs
@@ -62,6 +62,7 @@
         connect_timeout: config.connect_timeout,
         idle: config.server_idle / 3,
         connections: to_servers,
+        // Beside what clients' connections may hold, with some to spare.
         long_answers: config.memory_mb / 8 * 1_048_576,
     }));
     let (calls, called) = mpsc::channel(counter::MOST_OUT);
