--- a/gateway/src/counter.rs
+++ b/crates/counter/src/lib.rs
@@ -1,7 +1,7 @@
 //! Calls to the shared counter, over a few connections; on each, answers come in the order of the calls.
+#![forbid(unsafe_code)]
 
-use crate::config::Addresses;
-use crate::driver::Driver;
+use frosthatch_engine::{Call, Engine};
 use std::cell::Cell;
 use std::collections::VecDeque;
 use std::fmt::Write;
@@ -40,13 +40,6 @@
 /// A line without an end that is longer than this is nonsense.
 const LINE_BYTES: usize = 256;
 
-/// One call: add `amount` to `name`, which lives for `ttl_ms` if new.
-pub struct Call {
-    pub name: String,
-    pub amount: f64,
-    pub ttl_ms: u64,
-}
-
 /// A call whose answer has not come. One that was given up keeps its place, so that its late answer is not
 /// taken for the next call's.
 struct Waiting {
@@ -58,13 +51,13 @@
 
 /// Makes calls for good, wherever the counter stands.
 pub async fn run(
-    mut addresses: watch::Receiver<Addresses>,
+    mut addresses: watch::Receiver<Option<SocketAddr>>,
     patience: Duration,
     mut calls: mpsc::Receiver<Call>,
-    driver: Rc<Driver>,
+    engine: Rc<Engine>,
 ) {
     let mut pool = Pool {
-        driver,
+        engine,
         patience,
         // Nothing is known yet: an answer may take as long as a call waits.
         usual: Rc::new(Cell::new(patience)),
@@ -74,10 +67,10 @@
         not_before: Instant::now(),
     };
     loop {
-        let address = addresses.borrow_and_update().counter;
+        let address = *addresses.borrow_and_update();
         tokio::select! {
             () = pool.serve(address, &mut calls) => return,
-            moved = addresses.wait_for(|now| now.counter != address) => match moved {
+            moved = addresses.wait_for(|now| *now != address) => match moved {
                 Ok(_) => {}
                 Err(_) => return,
             },
@@ -92,7 +85,7 @@
 /// The connections to the counter. A call goes where the fewest are out, as a rule none: a connection that falls silent
 /// or breaks takes no others along. A counter that is slow needs more of them, but never more than `LINES`.
 struct Pool {
-    driver: Rc<Driver>,
+    engine: Rc<Engine>,
     patience: Duration,
     /// How long an answer takes, on whichever connection.
     usual: Rc<Cell<Duration>>,
@@ -128,7 +121,7 @@
                         None => self.back_off(),
                     }
                 }
-                (n, done) = any_step(&mut self.lines, &self.driver) => if done.is_err() {
+                (n, done) = any_step(&mut self.lines, &self.engine) => if done.is_err() {
                     self.end(n);
                 },
             }
@@ -151,9 +144,9 @@
         let same = |l: &Line| l.waiting.iter().any(|w| w.name.as_ref() == Some(&call.name));
         let fewest = || (0..self.lines.len()).min_by_key(|&n| self.lines[n].waiting.len());
         let Some(n) = self.lines.iter().position(same).or_else(fewest) else {
-            return self.driver.counted(call.name, Status::NoConnection, 0.0);
+            return self.engine.counted(call.name, Status::NoConnection, 0.0);
         };
-        self.lines[n].add(call, &self.driver);
+        self.lines[n].add(call, &self.engine);
         if self.lines[n].write().is_err() {
             self.end(n);
         }
@@ -166,7 +159,7 @@
             Some(_) => self.backoff = BACKOFF_LEAST,
             None => self.back_off(),
         }
-        line.give_up(&self.driver);
+        line.give_up(&self.engine);
     }
 
     fn back_off(&mut self) {
@@ -177,7 +170,7 @@
     /// The counter has moved: what is out at the old one may end; new calls go to the new one.
     fn leave(&mut self) {
         for line in self.lines.drain(..) {
-            tokio::task::spawn_local(line.finish(self.driver.clone()));
+            tokio::task::spawn_local(line.finish(self.engine.clone()));
         }
         (self.dial, self.backoff, self.not_before) = (None, BACKOFF_LEAST, Instant::now());
     }
@@ -191,8 +184,8 @@
 }
 
 /// The next step of whichever connection comes first.
-async fn any_step(lines: &mut [Line], driver: &Rc<Driver>) -> (usize, io::Result<()>) {
-    let mut steps: Vec<_> = lines.iter_mut().map(|l| Box::pin(l.step(driver))).collect();
+async fn any_step(lines: &mut [Line], engine: &Rc<Engine>) -> (usize, io::Result<()>) {
+    let mut steps: Vec<_> = lines.iter_mut().map(|l| Box::pin(l.step(engine))).collect();
     poll_fn(|cx| {
         for (n, step) in steps.iter_mut().enumerate() {
             if let Poll::Ready(done) = step.as_mut().poll(cx) {
@@ -231,13 +224,13 @@
     }
 
     /// Takes no new calls; those that are out may end.
-    async fn finish(mut self, driver: Rc<Driver>) {
-        while !self.waiting.is_empty() && self.step(&driver).await.is_ok() {}
-        self.give_up(&driver);
+    async fn finish(mut self, engine: Rc<Engine>) {
+        while !self.waiting.is_empty() && self.step(&engine).await.is_ok() {}
+        self.give_up(&engine);
     }
 
     /// Waits for what comes next on the connection and does it.
-    async fn step(&mut self, driver: &Rc<Driver>) -> io::Result<()> {
+    async fn step(&mut self, engine: &Rc<Engine>) -> io::Result<()> {
         let oldest = self.waiting.iter().find(|w| w.name.is_some()).map(|w| w.since + self.patience);
         let silent = self.silent_at();
         let due = oldest.into_iter().chain(silent).min();
@@ -245,11 +238,11 @@
         tokio::select! {
             ready = self.stream.readable() => {
                 ready?;
-                self.read(driver)?;
+                self.read(engine)?;
             }
             ready = self.stream.writable(), if !self.outgoing.is_empty() => ready?,
             () = sleep_until(due.unwrap_or(far)), if due.is_some() => {
-                self.expire(driver);
+                self.expire(engine);
                 if silent.is_some_and(|t| t <= Instant::now()) {
                     // Guards against a counter that has become this slow: with less patience none of its answers
                     // would be heard any more.
@@ -270,9 +263,9 @@
         Some(self.heard_at.map_or(since, |at| at.max(since)) + most)
     }
 
-    fn add(&mut self, call: Call, driver: &Rc<Driver>) {
+    fn add(&mut self, call: Call, engine: &Rc<Engine>) {
         if self.waiting.len() >= MOST_OUT {
-            return driver.counted(call.name, Status::TurnedAway, 0.0);
+            return engine.counted(call.name, Status::TurnedAway, 0.0);
         }
         let mut text = String::new();
         let _ = write!(text, "bump {} {} {}\r\n", call.name, call.amount, call.ttl_ms);
@@ -295,7 +288,7 @@
         Ok(())
     }
 
-    fn read(&mut self, driver: &Rc<Driver>) -> io::Result<()> {
+    fn read(&mut self, engine: &Rc<Engine>) -> io::Result<()> {
         let mut chunk = [0u8; 4096];
         loop {
             match self.stream.try_read(&mut chunk) {
@@ -309,7 +302,7 @@
             }
             while let Some(end) = self.incoming.iter().position(|&b| b == b'\n') {
                 let line: Vec<u8> = self.incoming.drain(..=end).collect();
-                self.answer(&line, driver)?;
+                self.answer(&line, engine)?;
             }
             // Guards against noise without an end of line: others out behind it would wait in vain.
             let part = &self.incoming[..];
@@ -322,7 +315,7 @@
     }
 
     /// One line answers the oldest call. What cannot be read ends the connection: its order is lost.
-    fn answer(&mut self, line: &[u8], driver: &Rc<Driver>) -> io::Result<()> {
+    fn answer(&mut self, line: &[u8], engine: &Rc<Engine>) -> io::Result<()> {
         let text = std::str::from_utf8(line).unwrap_or("").trim_end();
         let total = text.strip_prefix("ok ").and_then(|t| t.parse::<f64>().ok()).filter(|t| t.is_finite());
         let (status, total) = match (text, total) {
@@ -334,27 +327,27 @@
         let took = waiting.since.elapsed().min(SILENT_MOST);
         self.usual.set(self.usual.get().mul_f64(1.0 - USUAL_WEIGHT) + took.mul_f64(USUAL_WEIGHT));
         if let Some(name) = waiting.name {
-            driver.counted(name, status, total);
+            engine.counted(name, status, total);
         }
         Ok(())
     }
 
     /// Calls that have waited long enough end without an answer: the amount may have been added.
-    fn expire(&mut self, driver: &Rc<Driver>) {
+    fn expire(&mut self, engine: &Rc<Engine>) {
         let now = Instant::now();
         for w in self.waiting.iter_mut().filter(|w| w.since + self.patience <= now) {
             if let Some(name) = w.name.take() {
-                driver.counted(name, Status::NoAnswer, 0.0);
+                engine.counted(name, Status::NoAnswer, 0.0);
             }
         }
     }
 
     /// The connection is over. A call not written whole added nothing; of the others nobody knows.
-    fn give_up(&mut self, driver: &Rc<Driver>) {
+    fn give_up(&mut self, engine: &Rc<Engine>) {
         for w in self.waiting.drain(..) {
             let status = if w.end <= self.written { Status::ConnectionLost } else { Status::NoConnection };
             if let Some(name) = w.name {
-                driver.counted(name, status, 0.0);
+                engine.counted(name, status, 0.0);
             }
         }
     }
--- a/gateway/src/driver.rs
+++ b/crates/engine/src/engine.rs
@@ -1,14 +1,11 @@
 //! Owns the one [`Gateway`] with its clock, its timers and the table of requests: feeds it events and carries out
 //! its actions. Everything runs on one thread and nothing is held across an await.
 
-use crate::counter::Call;
-use crate::discovery::{State, Target};
-use crate::upstream::{Ended, Upstream};
-use bytes::Bytes;
+use crate::ports::*;
+use crate::timers::{Due, Timers};
 use std::cell::{Cell, RefCell};
-use std::cmp::Reverse;
 use std::collections::hash_map::Entry;
-use std::collections::{BinaryHeap, HashMap, VecDeque};
+use std::collections::{HashMap, VecDeque};
 use std::rc::Rc;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 use tokio::sync::{mpsc, oneshot, Notify};
@@ -24,48 +21,10 @@
 /// A fresh list is awaited this long before the one from before has to do.
 const LIST_WAIT: Duration = Duration::from_secs(1);
 
-/// What of a client's request goes on to a server.
-pub struct Forward {
-    /// Its line and its headers, each with its end, but for the time that is left.
-    pub head: Vec<u8>,
-    pub body: Vec<u8>,
-}
-
-impl Forward {
-    /// The request as a server gets it, when the gateway will wait for `left`.
-    fn request(&self, left: Duration) -> Vec<u8> {
-        let left = format!("X-Expires-In: {:.3}\r\n\r\n", left.as_secs_f64());
-        [&self.head[..], left.as_bytes(), &self.body[..]].concat()
-    }
-}
-
-/// A client's request, read and checked.
-pub struct Arrival {
-    pub request: turndeck::Request,
-    /// When the client leaves.
-    pub gone_at: Instant,
-    pub forward: Forward,
-}
-
-/// The one final answer of a request.
-pub enum Answer {
-    Served(Bytes),
-    Refused {
-        retry_after: Duration,
-    },
-    /// By a server or on the way to it, or because there was no answer in time.
-    Failed {
-        timed_out: bool,
-    },
-}
-
-/// A request was not taken: one with the same id is open.
-pub struct Duplicate;
-
 struct Held {
     answer: Option<oneshot::Sender<Answer>>,
     answer_by: Instant,
-    forward: Rc<Forward>,
+    payload: Box<dyn Payload>,
     /// By number; those that ended are none.
     attempts: Vec<Option<Out>>,
     /// An attempt ended without an answer in time.
@@ -78,30 +37,18 @@
     task: AbortHandle,
 }
 
-#[derive(PartialEq, Eq, PartialOrd, Ord)]
-enum Due {
-    Timer(TimerKey),
-    Backstop(u64),
-}
-
-#[derive(PartialEq, Eq, PartialOrd, Ord)]
-enum TimerKey {
-    Interval,
-    Request(u64),
-}
-
 struct Inner {
     gateway: Gateway,
     events: VecDeque<Event>,
     actions: Vec<Action>,
     /// One for each client's connection at most: a client that goes takes its request along.
     held: HashMap<RequestId, Held>,
-    timers: BinaryHeap<Reverse<(Instant, Due)>>,
+    timers: Timers,
 }
 
-pub struct Driver {
+pub struct Engine {
     inner: RefCell<Inner>,
-    upstream: Rc<Upstream>,
+    fleets: Vec<Rc<dyn Fleet>>,
     counter: mpsc::Sender<Call>,
     sooner: Notify,
     /// The clock: Unix time at the start, as servers' starts and the names of counts are told in it, then a
@@ -112,18 +59,19 @@
     known: Cell<bool>,
 }
 
-impl Driver {
-    pub fn new(gateway: Gateway, upstream: Rc<Upstream>, counter: mpsc::Sender<Call>) -> Self {
+impl Engine {
+    /// `fleets` hear of every change of the servers; `counter` takes the calls to the counter.
+    pub fn new(gateway: Gateway, fleets: Vec<Rc<dyn Fleet>>, counter: mpsc::Sender<Call>) -> Self {
         let unix = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
-        Driver {
+        Engine {
             inner: RefCell::new(Inner {
                 gateway,
                 events: VecDeque::new(),
                 actions: Vec::new(),
                 held: HashMap::new(),
-                timers: BinaryHeap::new(),
+                timers: Timers::default(),
             }),
-            upstream,
+            fleets,
             counter,
             sooner: Notify::new(),
             start: (unix.as_micros() as u64, Instant::now()),
@@ -137,29 +85,32 @@
         self.listed.get() || self.known.get() && self.start.1.elapsed() >= LIST_WAIT
     }
 
-    fn now(&self) -> Micros {
+    /// Unix time in microseconds, by a clock that only goes forward.
+    pub fn now(&self) -> Micros {
         self.start.0 + self.start.1.elapsed().as_micros() as u64
     }
 
     /// News of the servers.
-    pub fn servers(self: &Rc<Self>, kind: ListKind, targets: Vec<Target>) {
+    pub fn servers(self: &Rc<Self>, kind: ListKind, members: Vec<Member>) {
         match kind {
-            ListKind::Persisted => self.known.set(!targets.is_empty()),
+            ListKind::Persisted => self.known.set(!members.is_empty()),
             _ => self.listed.set(true),
         }
-        if kind == ListKind::Partial && targets.is_empty() {
+        if kind == ListKind::Partial && members.is_empty() {
             return;
         }
-        self.upstream.update(kind != ListKind::Partial, &targets);
-        let entries = targets.into_iter().map(|t| ServerEntry {
+        for fleet in &self.fleets {
+            fleet.update(kind != ListKind::Partial, &members);
+        }
+        let entries = members.into_iter().map(|t| ServerEntry {
             server: ServerId(t.uid.into()),
-            zone: t.az,
-            cell: t.pod_group,
-            share: t.capacity_hint,
+            zone: t.zone,
+            cell: t.cell,
+            share: t.share,
             started_us: t.boot_ms.saturating_mul(1_000),
             health: match t.state {
                 State::Ready => Health::Ready,
-                State::Terminating => Health::Draining,
+                State::Draining => Health::Draining,
                 State::Gone => Health::Removed,
             },
         });
@@ -174,7 +125,7 @@
     /// Takes a request. Its one answer comes by the receiver before the client leaves.
     pub fn take(self: &Rc<Self>, arrival: Arrival) -> Result<oneshot::Receiver<Answer>, Duplicate> {
         let (sender, receiver) = oneshot::channel();
-        let Arrival { mut request, gone_at, forward } = arrival;
+        let Arrival { mut request, gone_at, payload } = arrival;
         let answer_by = gone_at.checked_sub(BACKSTOP).unwrap_or(gone_at);
         {
             let mut inner = self.inner.borrow_mut();
@@ -183,7 +134,7 @@
                 Entry::Vacant(place) => place.insert(Held {
                     answer: Some(sender),
                     answer_by,
-                    forward: Rc::new(forward),
+                    payload,
                     attempts: Vec::new(),
                     timed_out: false,
                 }),
@@ -269,11 +220,11 @@
                 answer(inner, request, |timed_out| Answer::Failed { timed_out });
             }
             Action::SetTimer { after_us, timer } => {
-                let key = match timer {
-                    Timer::Interval => TimerKey::Interval,
-                    Timer::Request(id) => TimerKey::Request(id.0),
+                let due = match timer {
+                    Timer::Interval => Due::Interval,
+                    Timer::Request(id) => Due::Request(id.0),
                 };
-                self.set(inner, Instant::now() + Duration::from_micros(after_us), Due::Timer(key));
+                self.set(inner, Instant::now() + Duration::from_micros(after_us), due);
             }
             Action::Count { name, amount, ttl_us } => {
                 let call = Call { name, amount, ttl_ms: (ttl_us / 1_000).max(1) };
@@ -291,28 +242,25 @@
 
     fn send(self: &Rc<Self>, inner: &mut Inner, id: RequestId, server: ServerId, timeout_us: Micros) {
         let Some(held) = inner.held.get_mut(&id).filter(|h| h.answer.is_some()) else { return };
-        let (driver, forward, to) = (self.clone(), held.forward.clone(), server.clone());
-        let attempt = held.attempts.len();
-        let since = Instant::now();
+        let (engine, attempt, since) = (self.clone(), held.attempts.len(), Instant::now());
+        let out = held.payload.attempt(&server, since + Duration::from_micros(timeout_us));
         let task = tokio::task::spawn_local(async move {
-            let deadline = since + Duration::from_micros(timeout_us);
-            let ended = driver.upstream.attempt(&to, |left| forward.request(left), deadline).await;
-            driver.attempt_ended(id, attempt, ended);
+            let ended = out.await;
+            engine.attempt_ended(id, attempt, ended);
         });
         held.attempts.push(Some(Out { server, since, task: task.abort_handle() }));
     }
 
     fn set(&self, inner: &mut Inner, at: Instant, due: Due) {
-        if inner.timers.peek().is_none_or(|Reverse((first, _))| at < *first) {
+        if inner.timers.set(at, due) {
             self.sooner.notify_one();
         }
-        inner.timers.push(Reverse((at, due)));
     }
 
     /// Fires timers for good.
     pub async fn run_timers(self: Rc<Self>) {
         loop {
-            let first = self.inner.borrow().timers.peek().map(|Reverse((at, _))| *at);
+            let first = self.inner.borrow().timers.first();
             let far = Instant::now() + Duration::from_secs(3_600);
             tokio::select! {
                 () = sleep_until(first.unwrap_or(far)) => {}
@@ -320,10 +268,8 @@
             }
             while let Some(due) = self.pop_due() {
                 match due {
-                    Due::Timer(TimerKey::Interval) => self.feed(Event::Timer(Timer::Interval)),
-                    Due::Timer(TimerKey::Request(id)) => {
-                        self.feed(Event::Timer(Timer::Request(RequestId(id))))
-                    }
+                    Due::Interval => self.feed(Event::Timer(Timer::Interval)),
+                    Due::Request(id) => self.feed(Event::Timer(Timer::Request(RequestId(id)))),
                     Due::Backstop(id) => self.backstop(RequestId(id)),
                 }
             }
@@ -331,10 +277,7 @@
     }
 
     fn pop_due(&self) -> Option<Due> {
-        let timers = &mut self.inner.borrow_mut().timers;
-        let now = Instant::now();
-        let due = timers.peek().is_some_and(|Reverse((at, _))| *at <= now);
-        due.then(|| timers.pop()).flatten().map(|Reverse((_, due))| due)
+        self.inner.borrow_mut().timers.pop_due(Instant::now())
     }
 
     /// Guards against a request that nobody has answered: its client hears before it leaves.
--- /dev/null
+++ b/crates/engine/src/lib.rs
@@ -0,0 +1,11 @@
+//! The one loop round the decisions. It owns the [`turndeck::Gateway`], its clock and timers and the table of requests;
+//! it knows no socket and no protocol. Fronts hand it [`Arrival`]s whose payload it never looks into, backends and
+//! membership sources and counters are what the wiring hands it ([`ports`]): adding one touches nothing here.
+#![forbid(unsafe_code)]
+
+mod engine;
+pub mod ports;
+mod timers;
+
+pub use engine::Engine;
+pub use ports::*;
--- /dev/null
+++ b/crates/engine/src/ports.rs
@@ -0,0 +1,95 @@
+//! What the engine exchanges with fronts, backends, membership sources and counters.
+
+use bytes::Bytes;
+use std::future::Future;
+use std::net::SocketAddr;
+use std::pin::Pin;
+use std::time::Duration;
+use tokio::time::Instant;
+use turndeck::{Load, ServerId, Status};
+
+/// A server as a membership source tells it.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Member {
+    /// The same at every gateway.
+    pub uid: String,
+    pub endpoint: SocketAddr,
+    pub zone: String,
+    /// The servers that share which keys they have seen.
+    pub cell: u64,
+    pub state: State,
+    /// Its size beside the others'.
+    pub share: f64,
+    /// When it last started, Unix time in milliseconds; 0: long ago.
+    pub boot_ms: u64,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum State {
+    Ready,
+    /// Finishes what it has, wants nothing new.
+    Draining,
+    /// Nobody is there any more: what is out at it is not waited for.
+    Gone,
+}
+
+/// Whoever keeps connections to servers.
+pub trait Fleet {
+    /// News of the servers; a `whole` list forgets what it leaves out. Told before the decisions are.
+    fn update(&self, whole: bool, members: &[Member]);
+}
+
+/// An attempt under way; dropping it calls the attempt off.
+pub type Attempt = Pin<Box<dyn Future<Output = Ended>>>;
+
+/// What of a client's request goes on to a server, in whatever protocol. Made by the front, for the backend that it
+/// speaks to; the engine only keeps it.
+pub trait Payload {
+    /// One attempt. Whatever happens, it ends by `deadline`; called off, nothing more of it is sent.
+    fn attempt(&self, server: &ServerId, deadline: Instant) -> Attempt;
+}
+
+/// How an attempt ended, and what its answer told.
+pub struct Ended {
+    pub status: Status,
+    /// The answer in the protocol of its payload.
+    pub body: Bytes,
+    pub metered_use: Option<f64>,
+    pub report: Vec<(Load, f64)>,
+}
+
+impl Ended {
+    pub fn without_answer(status: Status) -> Self {
+        Ended { status, body: Bytes::new(), metered_use: None, report: Vec::new() }
+    }
+}
+
+/// A client's request, read and checked.
+pub struct Arrival {
+    pub request: turndeck::Request,
+    /// When the client leaves.
+    pub gone_at: Instant,
+    pub payload: Box<dyn Payload>,
+}
+
+/// The one final answer of a request.
+pub enum Answer {
+    Served(Bytes),
+    Refused {
+        retry_after: Duration,
+    },
+    /// By a server or on the way to it, or because there was no answer in time.
+    Failed {
+        timed_out: bool,
+    },
+}
+
+/// A request was not taken: one with the same id is open.
+pub struct Duplicate;
+
+/// One call to the counter: add `amount` to `name`, which lives for `ttl_ms` if new.
+pub struct Call {
+    pub name: String,
+    pub amount: f64,
+    pub ttl_ms: u64,
+}
--- /dev/null
+++ b/crates/frosthatch/src/main.rs
@@ -0,0 +1,72 @@
+//! The gateway's program: command line, then either a check of the files or the gateway itself.
+#![forbid(unsafe_code)]
+
+mod mistake;
+mod node;
+mod operator;
+mod serve;
+
+use clap::{Parser, Subcommand};
+use mistake::Mistake;
+use std::path::{Path, PathBuf};
+use std::process::ExitCode;
+
+/// A gateway that meters customers' use of a fleet of servers and passes their requests on.
+///
+/// What the platform tells it stands in the JSON file that the variable NODE_CONFIG names.
+#[derive(Parser)]
+#[command(version)]
+struct Cli {
+    #[command(subcommand)]
+    command: Option<Cmd>,
+    /// The operator's own file (TOML): all that the platform does not tell. Without it nothing of that is on.
+    #[arg(long, value_name = "FILE", global = true)]
+    operator: Option<PathBuf>,
+}
+
+#[derive(Subcommand)]
+enum Cmd {
+    /// Reads both files, prints every mistake with its place and what would be right, and starts nothing.
+    Check,
+}
+
+fn main() -> ExitCode {
+    let cli = Cli::parse();
+    let operator = cli.operator.as_deref();
+    match cli.command {
+        Some(Cmd::Check) => check(operator),
+        None => match serve::run(operator) {
+            Ok(()) => ExitCode::SUCCESS,
+            Err(text) => {
+                eprintln!("frosthatch: {text}");
+                ExitCode::FAILURE
+            }
+        },
+    }
+}
+
+fn check(operator: Option<&Path>) -> ExitCode {
+    let mut mistakes = match node::Config::from_env() {
+        Ok(node) => node.oddities,
+        Err(e) => e,
+    };
+    if let Some(path) = operator {
+        mistakes.extend(operator::Operator::read(path).err().unwrap_or_default());
+    }
+    mistakes.iter().for_each(|m| println!("{m}"));
+    match mistakes.len() {
+        0 => {
+            println!("no mistakes");
+            ExitCode::SUCCESS
+        }
+        n => {
+            println!("{n} mistake{}", if n == 1 { "" } else { "s" });
+            ExitCode::FAILURE
+        }
+    }
+}
+
+/// All of them, as one text.
+fn joined(mistakes: &[Mistake]) -> String {
+    mistakes.iter().map(Mistake::to_string).collect::<Vec<_>>().join("; ")
+}
--- /dev/null
+++ b/crates/frosthatch/src/mistake.rs
@@ -0,0 +1,19 @@
+//! What is wrong in a file, where, and what would be right.
+
+use std::fmt;
+
+#[derive(Debug, PartialEq, Eq)]
+pub struct Mistake {
+    pub file: String,
+    /// A line, or a path of keys.
+    pub place: String,
+    pub what: String,
+    /// What would be right.
+    pub right: String,
+}
+
+impl fmt::Display for Mistake {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}: {}: {}; {}", self.file, self.place, self.what, self.right)
+    }
+}
--- /dev/null
+++ b/crates/frosthatch/src/operator.rs
@@ -0,0 +1,358 @@
+//! The operator's own file: what the platform does not tell. TOML; every key is checked, and an unknown one is an error.
+
+use crate::mistake::Mistake;
+use frosthatch_membership::dnssd;
+use std::fmt::Display;
+use std::net::SocketAddr;
+use std::ops::RangeInclusive;
+use std::path::Path;
+use std::sync::Arc;
+use std::time::Duration;
+use toml::de::{DeTable, DeValue};
+use toml::Spanned;
+
+/// What is on beside what the platform tells; the default is nothing.
+#[derive(Clone, Default, Debug)]
+pub struct Operator {
+    /// Servers are found through DNS-SD records in place of the list.
+    pub dns_sd: Option<Arc<dnssd::Plan>>,
+}
+
+impl Operator {
+    /// # Errors
+    /// Every mistake in the file.
+    pub fn read(path: &Path) -> Result<Operator, Vec<Mistake>> {
+        let file = path.display().to_string();
+        let text = std::fs::read_to_string(path).map_err(|e| {
+            let (what, right) = (format!("cannot be read: {e}"), "name a file that can be read".into());
+            vec![Mistake { file: file.clone(), place: "the file".into(), what, right }]
+        })?;
+        Operator::parse(&file, &text, path.parent().unwrap_or(Path::new(".")))
+    }
+
+    /// `folder`: where the files that it names are looked for.
+    fn parse(file: &str, text: &str, folder: &Path) -> Result<Operator, Vec<Mistake>> {
+        let (table, errors) = DeTable::parse_recoverable(text);
+        let mut r = Reader { file, text, mistakes: Vec::new() };
+        for e in errors {
+            r.wrong(e.span().unwrap_or(0..0), e.message(), "correct the TOML");
+        }
+        let mut root = Section::new("", table.get_ref(), table.span());
+        let source = match root.table(&mut r, "membership") {
+            Some(mut s) => {
+                let source = s.choice(&mut r, "source", &["list", "dns-sd"], "list");
+                s.finish(&mut r);
+                source
+            }
+            None => "list",
+        };
+        let plan = root.table(&mut r, "dns-sd").map(|s| dns_sd(&mut r, s, folder));
+        if source == "dns-sd" && plan.is_none() {
+            r.wrong(0..0, "membership.source is \"dns-sd\", but there is no such table", "add [dns-sd]");
+        }
+        root.finish(&mut r);
+        match r.mistakes.is_empty() {
+            true => Ok(Operator { dns_sd: plan.flatten().filter(|_| source == "dns-sd").map(Arc::new) }),
+            false => Err(r.mistakes),
+        }
+    }
+}
+
+fn dns_sd(r: &mut Reader, mut s: Section, folder: &Path) -> Option<dnssd::Plan> {
+    let a_service = "write names as \"_topup._tcp.example.org\", with the same service and domain";
+    let services = s.texts(r, "services", 1..=dnssd::MOST_SERVICES, a_service);
+    let a_resolver = "write addresses as \"127.0.0.1:53\"";
+    let resolvers = s.parsed::<SocketAddr>(r, "resolvers", 1..=dnssd::MOST_RESOLVERS, a_resolver);
+    let d = dnssd::Plan::default();
+    let mut plan = dnssd::Plan {
+        resolvers,
+        poll_least: s.millis(r, "poll_least_ms", 20..=10_000, d.poll_least),
+        poll_most: s.millis(r, "poll_most_ms", 20..=60_000, d.poll_most),
+        timeout: s.millis(r, "timeout_ms", 10..=5_000, d.timeout),
+        queries_per_s: s.number(r, "queries_per_s", 10..=10_000, d.queries_per_s.into()) as u32,
+        confirm: s.millis(r, "confirm_ms", 50..=60_000, d.confirm),
+        loss_share: s.share(r, "loss_share", d.loss_share),
+        loss_hold: s.millis(r, "loss_hold_ms", 0..=3_600_000, d.loss_hold),
+        linger: s.millis(r, "linger_ms", 100..=600_000, d.linger),
+        cached_answers: s.yes_no(r, "cached_answers", d.cached_answers),
+        most_instances: s.number(r, "most_instances", 1..=20_000, d.most_instances.into()) as u32,
+        ..d
+    };
+    if plan.poll_least > plan.poll_most {
+        let span = s.span_of("poll_least_ms");
+        r.wrong(span, "poll_least_ms is above poll_most_ms", "the least interval comes first");
+    }
+    if let Some(mut p) = s.table(r, "push") {
+        let d = dnssd::PushPlan::default();
+        let servers = p.parsed::<SocketAddr>(r, "servers", 1..=dnssd::MOST_RESOLVERS, a_resolver);
+        let trust_anchor = p.text(r, "trust_anchor").map(|f| folder.join(f));
+        let server_name = p.text(r, "server_name").map(String::from);
+        let span = p.span_of("servers");
+        if trust_anchor.is_none() && servers.iter().any(|a| !a.ip().is_loopback()) {
+            r.wrong(span.clone(), "push without TLS leaves the machine", "give a trust_anchor (PEM file)");
+        }
+        if trust_anchor.is_some() != server_name.is_some() {
+            let right = "give both: the PEM file and the name in the server's certificate";
+            r.wrong(span, "trust_anchor and server_name go together", right);
+        }
+        if let Some(e) = trust_anchor.as_deref().and_then(|f| dnssd::read_anchor(f).err()) {
+            r.wrong(p.span_of("trust_anchor"), e, "name a PEM file with the authority's certificate");
+        }
+        plan.push = Some(dnssd::PushPlan {
+            servers,
+            check: p.millis(r, "check_ms", 100..=60_000, d.check),
+            keepalive: p.millis(r, "keepalive_ms", 100..=3_600_000, d.keepalive),
+            tls: trust_anchor.zip(server_name),
+        });
+        p.finish(r);
+    }
+    if let Err(e) = plan.set_services(&services) {
+        r.wrong(s.span_of("services"), e, a_service);
+    }
+    s.finish(r);
+    Some(plan)
+}
+
+struct Reader<'a> {
+    file: &'a str,
+    text: &'a str,
+    mistakes: Vec<Mistake>,
+}
+
+impl Reader<'_> {
+    fn wrong(&mut self, span: std::ops::Range<usize>, what: impl Into<String>, right: impl Into<String>) {
+        let line = 1 + self.text.bytes().take(span.start).filter(|&b| b == b'\n').count();
+        let (file, place) = (self.file.to_string(), format!("line {line}"));
+        self.mistakes.push(Mistake { file, place, what: what.into(), right: right.into() });
+    }
+}
+
+/// One table of the file. Remembers which keys were asked for; any other is a mistake.
+struct Section<'a> {
+    path: String,
+    table: &'a DeTable<'a>,
+    span: std::ops::Range<usize>,
+    known: Vec<&'static str>,
+}
+
+impl<'a> Section<'a> {
+    fn new(path: &str, table: &'a DeTable<'a>, span: std::ops::Range<usize>) -> Self {
+        Section { path: path.into(), table, span, known: Vec::new() }
+    }
+
+    fn name(&self, key: &str) -> String {
+        if self.path.is_empty() {
+            key.into()
+        } else {
+            format!("{}.{key}", self.path)
+        }
+    }
+
+    fn get(&mut self, key: &'static str) -> Option<&'a Spanned<DeValue<'a>>> {
+        self.known.push(key);
+        self.table.get(key)
+    }
+
+    fn span_of(&self, key: &str) -> std::ops::Range<usize> {
+        self.table.get(key).map_or(self.span.clone(), Spanned::span)
+    }
+
+    /// The value at a key as `read` understands it; none if it is not there or makes no sense, which is told.
+    fn read<T>(
+        &mut self,
+        r: &mut Reader,
+        key: &'static str,
+        right: impl Display,
+        read: impl Fn(&'a DeValue<'a>) -> Option<T>,
+    ) -> Option<T> {
+        let value = self.get(key)?;
+        let read = read(value.get_ref());
+        if read.is_none() {
+            let kind = value.get_ref().type_str();
+            let what = match value.get_ref() {
+                DeValue::Integer(i) => format!("{} is {}", self.name(key), i.as_str()),
+                DeValue::Float(f) => format!("{} is {}", self.name(key), f.as_str()),
+                DeValue::String(t) => format!("{} is {t:?}", self.name(key)),
+                _ => format!("{} is of type {kind}", self.name(key)),
+            };
+            r.wrong(value.span(), what, right.to_string());
+        }
+        read
+    }
+
+    fn table(&mut self, r: &mut Reader, key: &'static str) -> Option<Section<'a>> {
+        let span = self.span_of(key);
+        let table = self.read(r, key, "write a table", |v| v.as_table())?;
+        Some(Section::new(&self.name(key), table, span))
+    }
+
+    fn number(
+        &mut self,
+        r: &mut Reader,
+        key: &'static str,
+        range: RangeInclusive<i64>,
+        otherwise: i64,
+    ) -> i64 {
+        let right = format!("write a whole number from {} to {}", range.start(), range.end());
+        let fits = |n: &i64| range.contains(n);
+        let read = self.read(r, key, right, |v| {
+            let digits = v.as_integer()?;
+            i64::from_str_radix(digits.as_str(), digits.radix()).ok().filter(fits)
+        });
+        read.unwrap_or(otherwise)
+    }
+
+    fn millis(
+        &mut self,
+        r: &mut Reader,
+        key: &'static str,
+        range: RangeInclusive<i64>,
+        otherwise: Duration,
+    ) -> Duration {
+        let ms = self.number(r, key, range, otherwise.as_millis() as i64);
+        Duration::from_millis(ms.unsigned_abs())
+    }
+
+    fn share(&mut self, r: &mut Reader, key: &'static str, otherwise: f64) -> f64 {
+        let read = self.read(r, key, "write a share from 0 to 1", |v| {
+            let number = match v {
+                DeValue::Float(f) => f.as_str().parse().ok()?,
+                DeValue::Integer(i) => i.as_str().parse().ok()?,
+                _ => return None,
+            };
+            (0.0..=1.0).contains(&number).then_some(number)
+        });
+        read.unwrap_or(otherwise)
+    }
+
+    fn yes_no(&mut self, r: &mut Reader, key: &'static str, otherwise: bool) -> bool {
+        self.read(r, key, "write true or false", |v| v.as_bool()).unwrap_or(otherwise)
+    }
+
+    fn text(&mut self, r: &mut Reader, key: &'static str) -> Option<&'a str> {
+        self.read(r, key, "write a text", |v| v.as_str())
+    }
+
+    fn choice(
+        &mut self,
+        r: &mut Reader,
+        key: &'static str,
+        from: &[&'static str],
+        otherwise: &'static str,
+    ) -> &'static str {
+        let right = format!("write one of {from:?}");
+        let read = self.read(r, key, right, |v| {
+            let text = v.as_str()?;
+            from.iter().copied().find(|c| *c == text)
+        });
+        read.unwrap_or(otherwise)
+    }
+
+    /// A list of texts that must be there.
+    fn texts(
+        &mut self,
+        r: &mut Reader,
+        key: &'static str,
+        count: RangeInclusive<usize>,
+        right: &str,
+    ) -> Vec<&'a str> {
+        if self.table.get(key).is_none() {
+            r.wrong(self.span.clone(), format!("{} is missing", self.name(key)), right);
+        }
+        let right = format!("{right}, {} to {} of them", count.start(), count.end());
+        let read = self.read(r, key, right, |v| {
+            let all: Option<Vec<&str>> = v.as_array()?.iter().map(|e| e.get_ref().as_str()).collect();
+            all.filter(|all| count.contains(&all.len()))
+        });
+        read.unwrap_or_default()
+    }
+
+    /// A list of texts that each stand for a value.
+    fn parsed<T: std::str::FromStr>(
+        &mut self,
+        r: &mut Reader,
+        key: &'static str,
+        count: RangeInclusive<usize>,
+        right: &str,
+    ) -> Vec<T> {
+        let mut values = Vec::new();
+        for text in self.texts(r, key, count, right) {
+            match text.parse() {
+                Ok(value) => values.push(value),
+                Err(_) => r.wrong(self.span_of(key), format!("{} has {text:?}", self.name(key)), right),
+            }
+        }
+        values
+    }
+
+    /// Tells of keys that nobody asked for.
+    fn finish(self, r: &mut Reader) {
+        for key in self.table.keys().filter(|k| !self.known.contains(&k.get_ref().as_ref())) {
+            let what = format!("{} is not known", self.name(key.get_ref()));
+            r.wrong(key.span(), what, format!("the keys here are {}", self.known.join(", ")));
+        }
+    }
+}
+
+/// The files that a gateway reads, and where they stand.
+pub fn read(path: Option<&Path>) -> Result<Operator, Vec<Mistake>> {
+    path.map_or(Ok(Operator::default()), Operator::read)
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn said(text: &str) -> Vec<String> {
+        let read = Operator::parse("o.toml", text, Path::new("."));
+        read.err().unwrap_or_default().iter().map(Mistake::to_string).collect()
+    }
+
+    const FINE: &str = "[membership]\nsource = \"dns-sd\"\n[dns-sd]\nservices = [\"_t._tcp.example.org\"]\nresolvers = [\"127.0.0.1:53\"]\n";
+
+    #[test]
+    fn a_file_in_order_sets_what_it_says_and_leaves_the_rest() {
+        let read =
+            Operator::parse("o", &format!("{FINE}timeout_ms = 90\n"), Path::new(".")).expect("in order");
+        let plan = read.dns_sd.expect("dns-sd is on");
+        assert_eq!(plan.timeout, Duration::from_millis(90));
+        assert_eq!(plan.poll_most, dnssd::Plan::default().poll_most);
+        assert!(Operator::parse("o", "", Path::new(".")).expect("in order").dns_sd.is_none());
+    }
+
+    #[test]
+    fn every_mistake_is_told_with_its_line_and_what_would_be_right() {
+        let text = FINE.replace("127.0.0.1:53", "nowhere")
+            + "poll_most_ms = 5\nloss_share = 2\nwait = 1\nqueries_per_s = \"many\"\n[other]\n";
+        let said = said(&text);
+        for (n, (line, what, right)) in [
+            (5, "\"nowhere\"", "127.0.0.1:53"),
+            (6, "poll_most_ms is 5", "from 20 to 60000"),
+            (9, "queries_per_s is \"many\"", "whole number"),
+            (7, "loss_share is 2", "from 0 to 1"),
+            (8, "dns-sd.wait is not known", "timeout_ms"),
+            (10, "other is not known", "membership"),
+        ]
+        .iter()
+        .enumerate()
+        {
+            let one = &said[n];
+            let all = one.starts_with(&format!("o.toml: line {line}:")) && one.contains(what);
+            assert!(all && one.contains(right), "{one}");
+        }
+        assert_eq!(said.len(), 6, "{said:?}");
+    }
+
+    #[test]
+    fn push_that_leaves_the_machine_wants_tls() {
+        let text = format!("{FINE}[dns-sd.push]\nservers = [\"192.0.2.1:853\"]\n");
+        let said = said(&text);
+        assert!(said.len() == 1 && said[0].contains("trust_anchor"), "{said:?}");
+    }
+
+    #[test]
+    fn a_source_without_its_table_and_broken_toml_are_told() {
+        assert!(said("[membership]\nsource = \"dns-sd\"\n")[0].contains("add [dns-sd]"));
+        assert!(said("[membership\n")[0].contains("line 1"));
+    }
+}
--- /dev/null
+++ b/crates/frosthatch/tests/common/mod.rs
@@ -0,0 +1,4 @@
+//! The real binary between stand-ins on loopback.
+#![allow(unused_imports)]
+
+pub use frosthatch_standins::*;
--- /dev/null
+++ b/crates/http1/src/backend.rs
@@ -0,0 +1,289 @@
+//! Attempts at servers, and the pool of connections that they use. A connection carries one request at a time and is
+//! closed as soon as it is dropped: nothing is ever sent again by itself.
+
+use crate::conn::{Answer, Conn, Room};
+use crate::staleness::Staleness;
+use frosthatch_engine::{Attempt, Ended, Fleet, Member, Payload, State};
+use std::cell::{Cell, RefCell};
+use std::collections::{HashMap, HashSet};
+use std::io;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::sync::atomic::AtomicUsize;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::sync::Notify;
+use tokio::time::{timeout, timeout_at, Instant};
+use turndeck::{ServerId, Status};
+
+/// Servers do answer at greater length than was agreed. What no server sends is no answer; what some might is kept while
+/// all such answers together have room. Where they outgrow that room, attempts fail that ran well.
+const ANSWER_BYTES: usize = 1 << 20;
+
+/// What of a client's request goes on to a server.
+pub struct Forward {
+    /// Its line and its headers, each with its end, but for the time that is left.
+    pub head: Vec<u8>,
+    pub body: Vec<u8>,
+}
+
+impl Forward {
+    /// The request as a server gets it, when the gateway will wait for `left`.
+    fn request(&self, left: Duration) -> Vec<u8> {
+        let left = format!("X-Expires-In: {:.3}\r\n\r\n", left.as_secs_f64());
+        [&self.head[..], left.as_bytes(), &self.body[..]].concat()
+    }
+}
+
+/// A request on its way to whichever server is chosen.
+pub struct Outgoing {
+    pub forward: Rc<Forward>,
+    pub upstream: Rc<Upstream>,
+}
+
+impl Payload for Outgoing {
+    fn attempt(&self, server: &ServerId, deadline: Instant) -> Attempt {
+        let (upstream, forward, server) = (self.upstream.clone(), self.forward.clone(), server.clone());
+        Box::pin(async move { upstream.attempt(&server, |left| forward.request(left), deadline).await })
+    }
+}
+
+struct Idle {
+    conn: Conn,
+    since: Instant,
+    slot: Slot,
+}
+
+struct Server {
+    address: SocketAddr,
+    ready: bool,
+    idle: Vec<Idle>,
+    /// Ends the attempts that are out once the server is gone.
+    gone: Rc<Notify>,
+}
+
+impl Drop for Server {
+    fn drop(&mut self) {
+        self.gone.notify_waiters();
+    }
+}
+
+/// Counts a connection to a server for as long as it is held.
+struct Slot(Rc<Cell<usize>>);
+
+impl Drop for Slot {
+    fn drop(&mut self) {
+        self.0.set(self.0.get() - 1);
+    }
+}
+
+pub struct Limits {
+    pub connect_timeout: Duration,
+    /// Idle connections are retired after this, well before a server closes them.
+    pub idle: Duration,
+    /// Connections to all servers at most.
+    pub connections: usize,
+    /// Memory that long answers may take together.
+    pub long_answers: usize,
+}
+
+/// The servers that are known, with the connections to each.
+pub struct Upstream {
+    limits: Limits,
+    servers: RefCell<HashMap<ServerId, Server>>,
+    /// Who stands at an address: more than one for as long as news that the older ones are gone has not come.
+    at: RefCell<HashMap<SocketAddr, Vec<ServerId>>>,
+    open: Rc<Cell<usize>>,
+    staleness: RefCell<Staleness>,
+    /// What is left of the memory for long answers.
+    room: Arc<AtomicUsize>,
+}
+
+impl Upstream {
+    pub fn new(limits: Limits) -> Self {
+        let room = Arc::new(AtomicUsize::new(limits.long_answers));
+        let (servers, at, open, staleness) = Default::default();
+        Upstream { limits, servers, at, open, staleness, room }
+    }
+
+    /// Where new requests for a server may go, and what tells that it is gone; none if it drains or is gone.
+    fn wanted(&self, server: &ServerId) -> Option<(SocketAddr, Rc<Notify>)> {
+        let servers = self.servers.borrow();
+        let s = servers.get(server).filter(|s| s.ready)?;
+        Some((s.address, s.gone.clone()))
+    }
+
+    /// How long a connection may be idle.
+    fn most_idle(&self) -> Duration {
+        self.limits.idle.min(self.staleness.borrow().limit())
+    }
+
+    /// The idle connection used last that can be used again: the others can age and be retired.
+    fn take(&self, server: &ServerId) -> Option<Idle> {
+        let mut servers = self.servers.borrow_mut();
+        let (idle, most) = (&mut servers.get_mut(server)?.idle, self.most_idle());
+        std::iter::from_fn(|| idle.pop()).find(|i| i.since.elapsed() < most && i.conn.quiet())
+    }
+
+    fn put_back(&self, server: &ServerId, address: SocketAddr, conn: Conn, slot: Slot) {
+        let mut servers = self.servers.borrow_mut();
+        let home = servers.get_mut(server).filter(|s| s.ready && s.address == address);
+        if let Some(home) = home.filter(|_| conn.quiet()) {
+            home.idle.push(Idle { conn, since: Instant::now(), slot });
+        }
+    }
+
+    /// Closes what has stood idle for long or was closed by its server.
+    pub fn sweep(&self) {
+        self.staleness.borrow_mut().fade();
+        let (now, most) = (Instant::now(), self.most_idle());
+        for s in self.servers.borrow_mut().values_mut() {
+            s.idle.retain(|i| now.duration_since(i.since) < most && i.conn.quiet());
+        }
+    }
+
+    /// Makes room for one more connection, at the cost of the one that has been idle longest.
+    fn slot(&self) -> Option<Slot> {
+        if self.open.get() >= self.limits.connections {
+            let mut servers = self.servers.borrow_mut();
+            let oldest = |s: &&mut Server| s.idle.first().map(|i| i.since);
+            let s = servers.values_mut().filter(|s| !s.idle.is_empty()).min_by_key(oldest)?;
+            s.idle.remove(0);
+        }
+        self.open.set(self.open.get() + 1);
+        Some(Slot(self.open.clone()))
+    }
+
+    /// One attempt: `build` makes the request from the time that is left. Whatever happens, it ends by `deadline`.
+    pub async fn attempt(
+        &self,
+        server: &ServerId,
+        build: impl FnOnce(Duration) -> Vec<u8>,
+        deadline: Instant,
+    ) -> Ended {
+        let never = Ended::without_answer(Status::NoConnection);
+        let Some((address, gone)) = self.wanted(server) else { return never };
+        let connection = timeout_at(deadline, self.connection(server, address));
+        let Ok(Some((conn, slot, idle))) = connection.await else { return never };
+        // While it connected the server may have begun to drain, or moved: nothing new goes there.
+        if self.wanted(server).is_none_or(|(now, _)| now != address) {
+            return never;
+        }
+        let request = build(deadline.saturating_duration_since(Instant::now()));
+        let written = Cell::new(0);
+        let begun = Instant::now();
+        let room = Room::new(ANSWER_BYTES, self.room.clone());
+        let answer = tokio::select! {
+            answer = timeout_at(deadline, conn.ask(&request, room, &written)) => answer,
+            () = gone.notified() => Ok(Err(io::ErrorKind::ConnectionAborted.into())),
+        };
+        if let Some(idle) = idle {
+            let lost = matches!(answer, Ok(Err(_))) && begun.elapsed() < Staleness::AT_ONCE;
+            self.staleness.borrow_mut().note(idle, lost);
+        }
+        match answer {
+            Ok(Ok(answer)) => {
+                let status = status(&answer);
+                if answer.reusable {
+                    self.put_back(server, address, conn, slot);
+                }
+                Ended { status, body: answer.body, metered_use: answer.metered_use, report: answer.report }
+            }
+            // Not written whole: it never began. Else it may have run, or may yet.
+            _ if written.get() < request.len() => never,
+            Ok(Err(_)) => Ended::without_answer(Status::ConnectionLost),
+            Err(_) => Ended::without_answer(Status::NoAnswer),
+        }
+    }
+
+    /// A connection on which nothing is out, and how long it has been idle if it is not new.
+    async fn connection(
+        &self,
+        server: &ServerId,
+        address: SocketAddr,
+    ) -> Option<(Conn, Slot, Option<Duration>)> {
+        if let Some(Idle { conn, since, slot }) = self.take(server) {
+            return Some((conn, slot, Some(since.elapsed())));
+        }
+        let slot = self.slot()?;
+        let conn = timeout(self.limits.connect_timeout, Conn::open(address)).await.ok()?.ok()?;
+        Some((conn, slot, None))
+    }
+}
+
+impl Fleet for Upstream {
+    /// Connections to what is gone, draining or moved go.
+    fn update(&self, whole: bool, members: &[Member]) {
+        let (mut servers, mut at) = (self.servers.borrow_mut(), self.at.borrow_mut());
+        if whole {
+            let named: HashSet<&str> = members.iter().map(|m| m.uid.as_str()).collect();
+            servers.retain(|id, s| {
+                let stays = named.contains(&*id.0);
+                if !stays {
+                    leave(&mut at, id, s.address);
+                }
+                stays
+            });
+        }
+        for m in members {
+            let id = ServerId(m.uid.as_str().into());
+            if m.state == State::Gone {
+                if let Some(s) = servers.remove(&id) {
+                    leave(&mut at, &id, s.address);
+                }
+                continue;
+            }
+            let before = servers.get(&id).map(|s| s.address);
+            let fresh =
+                || Server { address: m.endpoint, ready: false, idle: Vec::new(), gone: Rc::default() };
+            let s = servers.entry(id.clone()).or_insert_with(fresh);
+            s.ready = m.state == State::Ready;
+            if !s.ready || s.address != m.endpoint {
+                s.idle.clear();
+            }
+            s.address = m.endpoint;
+            if before == Some(m.endpoint) {
+                continue;
+            }
+            if let Some(before) = before {
+                leave(&mut at, &id, before);
+            }
+            // Guards against reaching a new server under the name of the one that stood there before: addresses are
+            // used again, and news that the old one is gone may come later.
+            let there = at.entry(m.endpoint).or_default();
+            for old in there.iter() {
+                if let Some(old) = servers.get_mut(old) {
+                    old.ready = false;
+                    old.idle.clear();
+                }
+            }
+            there.push(id);
+        }
+    }
+}
+
+/// A server stands at an address no longer.
+fn leave(at: &mut HashMap<SocketAddr, Vec<ServerId>>, id: &ServerId, address: SocketAddr) {
+    if let Some(there) = at.get_mut(&address) {
+        there.retain(|i| i != id);
+        if there.is_empty() {
+            at.remove(&address);
+        }
+    }
+}
+
+fn status(answer: &Answer) -> Status {
+    match answer.status {
+        200 => Status::Served,
+        503 | 504 if answer.never_ran => Status::TurnedAway,
+        _ => Status::ServerError,
+    }
+}
+
+/// Sweeps the pool for good.
+pub async fn sweep(upstream: Rc<Upstream>) {
+    loop {
+        tokio::time::sleep(Duration::from_secs(1)).await;
+        upstream.sweep();
+    }
+}
--- a/gateway/src/server.rs
+++ b/crates/http1/src/front.rs
@@ -1,10 +1,9 @@
 //! The clients' side: reads and checks requests, and gives each its one answer. Strict: what a client of ours never
 //! sends is an error and the end of its connection, before anything else hears of it.
 
-use crate::driver::{Answer, Arrival, Driver, Duplicate, Forward};
-use crate::upstream::{
-    content_length, header, peek, read_more, says_close, write_all, BODY_BYTES, HEADERS, HEAD_BYTES,
-};
+use crate::backend::{Forward, Outgoing, Upstream};
+use crate::message::*;
+use frosthatch_engine::{Answer, Arrival, Duplicate, Engine};
 use httparse::{Header, Status as Parsed, EMPTY_HEADER};
 use socket2::SockRef;
 use std::cell::{Cell, RefCell};
@@ -53,7 +52,8 @@
 
 /// What the clients' connections share.
 pub struct Door {
-    driver: Rc<Driver>,
+    engine: Rc<Engine>,
+    upstream: Rc<Upstream>,
     settings: Settings,
     leaving: Cell<bool>,
     /// By number.
@@ -74,9 +74,9 @@
 }
 
 impl Door {
-    pub fn new(driver: Rc<Driver>, settings: Settings, most: usize) -> Rc<Self> {
+    pub fn new(engine: Rc<Engine>, upstream: Rc<Upstream>, settings: Settings, most: usize) -> Rc<Self> {
         let (leaving, open) = (Cell::new(false), Cell::new(0));
-        Rc::new(Door { driver, settings, leaving, idle: RefCell::default(), open, most })
+        Rc::new(Door { engine, upstream, settings, leaving, idle: RefCell::default(), open, most })
     }
 
     /// From now on every answer closes its connection.
@@ -137,9 +137,9 @@
                 Err(bad) => return client.turn_away(&bad).await,
             };
             client.kept = true;
-            let answer = match asked.arrival {
-                None => Reply::Ready(self.driver.ready() && !self.leaving.get()),
-                Some(arrival) => match self.answer(&mut client, *arrival).await {
+            let answer = match asked.ask {
+                None => Reply::Ready(self.engine.ready() && !self.leaving.get()),
+                Some(ask) => match self.answer(&mut client, *ask).await {
                     Ok(Some(answer)) => Reply::Answer(answer),
                     // The client has gone.
                     Ok(None) => return,
@@ -234,7 +234,7 @@
         }
         let close = request.version != Some(1) || says_close(h);
         if path == "/ready" && length == 0 {
-            return Ok(Head { end, length, close, arrival: None });
+            return Ok(Head { end, length, close, ask: None });
         }
         let set = &self.settings;
         let first = path.strip_prefix('/').and_then(|p| p.split(['/', '?']).next());
@@ -284,14 +284,17 @@
         // Nobody waits past the class's deadline, whatever the header says: what is kept for a request is short-lived.
         let gone_at = received + patience.min(Duration::from_micros(class.deadline_us));
         let forward = Forward { head: head.into(), body: Vec::new() };
-        Ok(Head { end, length, close, arrival: Some(Box::new(Arrival { request, gone_at, forward })) })
+        Ok(Head { end, length, close, ask: Some(Box::new(Ask { request, gone_at, forward })) })
     }
 
     /// The answer to a request; none if its client goes first.
-    async fn answer(&self, client: &mut Client, arrival: Arrival) -> Result<Option<Answer>, BadRequest> {
-        let id = arrival.request.id;
-        let mut answer = self.driver.take(arrival).map_err(|Duplicate| BadRequest::Duplicate)?;
-        let mut waiting = Waiting { driver: &self.driver, id: Some(id) };
+    async fn answer(&self, client: &mut Client, ask: Ask) -> Result<Option<Answer>, BadRequest> {
+        let Ask { request, gone_at, forward } = ask;
+        let id = request.id;
+        let payload = Box::new(Outgoing { forward: Rc::new(forward), upstream: self.upstream.clone() });
+        let taken = self.engine.take(Arrival { request, gone_at, payload });
+        let mut answer = taken.map_err(|Duplicate| BadRequest::Duplicate)?;
+        let mut waiting = Waiting { engine: &self.engine, id: Some(id) };
         let answer = loop {
             tokio::select! {
                 biased;
@@ -334,9 +337,16 @@
     }
 }
 
-/// A request that is whole and in order; with no arrival it asks whether the gateway is ready.
+/// A request for a server.
+struct Ask {
+    request: turndeck::Request,
+    gone_at: Instant,
+    forward: Forward,
+}
+
+/// A request that is whole and in order; with no ask it asks whether the gateway is ready.
 struct Asked {
-    arrival: Option<Box<Arrival>>,
+    ask: Option<Box<Ask>>,
     /// The client wants the connection to end.
     close: bool,
 }
@@ -346,18 +356,18 @@
     end: usize,
     length: usize,
     close: bool,
-    arrival: Option<Box<Arrival>>,
+    ask: Option<Box<Ask>>,
 }
 
 impl Head {
     /// Takes head and body off the buffer.
     fn with_body(mut self, buffer: &mut Vec<u8>) -> Asked {
         let behind = buffer.split_off(self.end + self.length);
-        if let Some(arrival) = &mut self.arrival {
-            arrival.forward.body = buffer.split_off(self.end);
+        if let Some(ask) = &mut self.ask {
+            ask.forward.body = buffer.split_off(self.end);
         }
         *buffer = behind;
-        Asked { arrival: self.arrival, close: self.close }
+        Asked { ask: self.ask, close: self.close }
     }
 }
 
@@ -369,14 +379,14 @@
 
 /// Dropped before the answer: the client has gone.
 struct Waiting<'a> {
-    driver: &'a Rc<Driver>,
+    engine: &'a Rc<Engine>,
     id: Option<RequestId>,
 }
 
 impl Drop for Waiting<'_> {
     fn drop(&mut self) {
         if let Some(id) = self.id {
-            self.driver.client_gone(id);
+            self.engine.client_gone(id);
         }
     }
 }
--- /dev/null
+++ b/crates/http1/src/lib.rs
@@ -0,0 +1,11 @@
+//! HTTP/1.1 on both sides: [`front`] reads clients' requests and writes the one answer, [`backend`] makes attempts at
+//! servers over a pool of connections, [`conn`] is one connection of our own making.
+#![forbid(unsafe_code)]
+
+pub mod backend;
+pub mod conn;
+pub mod front;
+mod message;
+mod staleness;
+
+pub use message::{BODY_BYTES, HEAD_BYTES};
--- /dev/null
+++ b/crates/lab/src/main.rs
@@ -0,0 +1,84 @@
+//! Whole installations on loopback: stand-ins of this repository round the real gateway. Everything is on ephemeral
+//! ports; what is started ends with the program.
+#![forbid(unsafe_code)]
+
+mod demo;
+mod dns_sd;
+mod figures;
+mod load;
+mod membership_size;
+mod servers;
+mod site;
+
+use clap::{Parser, Subcommand};
+use figures::Figures;
+use std::process::ExitCode;
+
+/// Brings up an installation of gateways, servers, list agent and counter on this machine's loopback.
+#[derive(Parser)]
+#[command(version)]
+struct Cli {
+    #[command(subcommand)]
+    command: Cmd,
+}
+
+#[derive(Subcommand)]
+enum Cmd {
+    /// An installation for some 15 s: a line a second, a server that dies and a cold one that comes.
+    Demo,
+    /// Names the scenarios.
+    List,
+    /// Plays a scenario; exit code 1 if what it must show does not hold.
+    Run {
+        /// Its name, as `list` tells.
+        name: String,
+        /// Figures as JSON, one object.
+        #[arg(long)]
+        json: bool,
+        /// How long each part of it lasts, in seconds (5 to 3600), in place of its own time.
+        #[arg(long, value_parser = clap::value_parser!(u64).range(5..=3600))]
+        seconds: Option<u64>,
+    },
+}
+
+/// Plays a scenario for that many seconds, if given.
+type Play = fn(Option<u64>, &mut Figures);
+
+/// The scenarios: name, what each shows, and how it is played.
+const SCENARIOS: [(&str, &str, Play); 2] = [
+    ("dns-sd", "500 requests/s while DNS-SD records change, asked for and pushed", dns_sd::play),
+    ("membership-size", "what a change and a request cost at 10 to 5,000 servers", membership_size::play),
+];
+
+fn main() -> ExitCode {
+    let cli = Cli::parse();
+    match cli.command {
+        Cmd::List => {
+            SCENARIOS.iter().for_each(|(name, shows, _)| println!("{name:20} {shows}"));
+            ExitCode::SUCCESS
+        }
+        Cmd::Demo => play(demo::play, false),
+        Cmd::Run { name, json, seconds } => match SCENARIOS.iter().find(|(n, ..)| *n == name) {
+            Some((_, _, scenario)) => play(|figures| scenario(seconds, figures), json),
+            None => {
+                eprintln!("frosthatch-lab: no scenario {name:?}; `list` names them");
+                ExitCode::from(2)
+            }
+        },
+    }
+}
+
+fn play(scenario: impl FnOnce(&mut Figures), json: bool) -> ExitCode {
+    if let Err(e) = site::build() {
+        eprintln!("frosthatch-lab: {e}");
+        return ExitCode::from(2);
+    }
+    site::end_on_signal();
+    let mut figures = Figures::new(json);
+    let played = std::panic::catch_unwind(std::panic::AssertUnwindSafe(|| scenario(&mut figures)));
+    match played {
+        Ok(()) => figures.finish(),
+        Err(e) if e.is::<site::Interrupted>() => ExitCode::from(130),
+        Err(_) => ExitCode::FAILURE,
+    }
+}
--- /dev/null
+++ b/crates/lab/src/servers.rs
@@ -0,0 +1,153 @@
+//! Servers with cores: a request takes its work, longer while the server is cold, and waits while all cores are busy.
+
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::runtime::Handle;
+use tokio::sync::Semaphore;
+use tokio::task::{AbortHandle, JoinSet};
+use tokio::time::sleep;
+
+/// How servers warm, as the settings tell the gateways.
+pub const COLD_FROM: f64 = 0.27;
+pub const WARM_AFTER: Duration = Duration::from_secs(18);
+const CORES: usize = 2;
+
+/// Mean work of a request, by its path.
+fn mean_work(path: &str) -> Duration {
+    Duration::from_millis(if path.starts_with("/top-up") { 10 } else { 18 })
+}
+
+struct State {
+    born: Option<Instant>,
+    cores: Semaphore,
+    /// When each request came, and the work that it takes.
+    arrivals: Mutex<Vec<(Instant, Duration)>>,
+}
+
+pub struct Server {
+    pub address: SocketAddr,
+    state: Arc<State>,
+    task: AbortHandle,
+}
+
+impl Server {
+    /// `cold`: it starts now; else long ago.
+    pub fn start(on: &Handle, cold: bool) -> Server {
+        Server::start_at(on, ([127, 0, 0, 1], 0).into(), cold)
+    }
+
+    pub fn start_at(on: &Handle, at: SocketAddr, cold: bool) -> Server {
+        let listener = std::net::TcpListener::bind(at).expect("a port");
+        let address = listener.local_addr().expect("an address");
+        listener.set_nonblocking(true).expect("a listener");
+        let born = cold.then(Instant::now);
+        let state = State { born, cores: Semaphore::new(CORES), arrivals: Mutex::default() };
+        let state = Arc::new(state);
+        let serving = state.clone();
+        let task = on.spawn(async move {
+            let Ok(listener) = TcpListener::from_std(listener) else { return };
+            // Dropped with this task, and its connections with it.
+            let mut open = JoinSet::new();
+            loop {
+                tokio::select! {
+                    accepted = listener.accept() => if let Ok((stream, _)) = accepted {
+                        open.spawn(serve(stream, serving.clone()));
+                    },
+                    Some(_) = open.join_next() => {}
+                }
+            }
+        });
+        Server { address, state, task: task.abort_handle() }
+    }
+
+    /// Its process dies: connections are reset, new ones refused.
+    pub fn kill(&self) {
+        self.task.abort();
+    }
+
+    pub fn served(&self) -> usize {
+        self.state.arrivals.lock().expect("arrivals").len()
+    }
+
+    /// How long after that time the last request came; none if none did.
+    pub fn last_after(&self, since: Instant) -> Option<Duration> {
+        let arrivals = self.state.arrivals.lock().expect("arrivals");
+        arrivals.iter().rev().find(|(at, _)| *at > since).map(|(at, _)| *at - since)
+    }
+
+    /// The most work that came within any such window, as a multiple of what the server could do in it.
+    pub fn worst_multiple(&self, window: Duration) -> f64 {
+        let Some(born) = self.state.born else { return 0.0 };
+        let arrivals = self.state.arrivals.lock().expect("arrivals");
+        let (mut from, mut work, mut worst) = (0, Duration::ZERO, 0.0f64);
+        for (n, (at, w)) in arrivals.iter().enumerate() {
+            work += *w;
+            while *at - arrivals[from].0 > window {
+                work -= arrivals[from].1;
+                from += 1;
+            }
+            // At the window's start it could do least; before it was born nothing.
+            let start = at.checked_sub(window).map_or(born, |s| s.max(born));
+            let can = window.as_secs_f64() * CORES as f64 * warmth(Some(born), start);
+            worst = worst.max(work.as_secs_f64() / can);
+            debug_assert!(from <= n);
+        }
+        worst
+    }
+}
+
+impl Drop for Server {
+    fn drop(&mut self) {
+        self.kill();
+    }
+}
+
+/// Share of its capacity at a time.
+fn warmth(born: Option<Instant>, now: Instant) -> f64 {
+    let Some(born) = born else { return 1.0 };
+    let age = now.saturating_duration_since(born).as_secs_f64() / WARM_AFTER.as_secs_f64();
+    COLD_FROM + (1.0 - COLD_FROM) * age.min(1.0)
+}
+
+async fn serve(mut stream: TcpStream, state: Arc<State>) {
+    let _ = stream.set_nodelay(true);
+    let mut buffer = Vec::new();
+    loop {
+        let end = loop {
+            if let Some(at) = buffer.windows(4).position(|w| w == b"\r\n\r\n") {
+                break at + 4;
+            }
+            if !matches!(stream.read_buf(&mut buffer).await, Ok(n) if n > 0) {
+                return;
+            }
+        };
+        let head = String::from_utf8_lossy(&buffer[..end]).to_string();
+        let header = |name: &str| {
+            let mut lines = head.lines().filter_map(|l| l.split_once(':'));
+            lines.find(|(n, _)| n.eq_ignore_ascii_case(name)).map(|(_, v)| v.trim().to_string())
+        };
+        let length = header("content-length").map_or(0, |l| l.parse().unwrap_or(0));
+        while buffer.len() < end + length {
+            if !matches!(stream.read_buf(&mut buffer).await, Ok(n) if n > 0) {
+                return;
+            }
+        }
+        buffer.drain(..end + length);
+        let id = header("x-trace-id").unwrap_or_default();
+        let path = head.split(' ').nth(1).unwrap_or("");
+        // Drawn from the id, so that a further attempt takes the same: half to one and a half of the mean.
+        let chance = u64::from_str_radix(&id, 16).unwrap_or(0).wrapping_mul(0x9E37_79B9_7F4A_7C15) >> 32;
+        let work = mean_work(path).mul_f64(0.5 + chance as f64 / f64::from(u32::MAX));
+        state.arrivals.lock().expect("arrivals").push((Instant::now(), work));
+        let Ok(core) = state.cores.acquire().await else { return };
+        sleep(work.div_f64(warmth(state.born, Instant::now()))).await;
+        drop(core);
+        let answer = format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{id}", id.len());
+        if stream.write_all(answer.as_bytes()).await.is_err() {
+            return;
+        }
+    }
+}
--- /dev/null
+++ b/crates/membership/src/dnssd/meaning.rs
@@ -0,0 +1,128 @@
+//! What the records of one instance mean for the gateway.
+
+use super::wire::Name;
+use std::net::IpAddr;
+
+/// Longest value of a text key.
+const VALUE_BYTES: usize = 64;
+/// Protocols that the gateway speaks to servers.
+const PROTOCOLS: [&str; 1] = ["http/1.1"];
+
+/// Where an instance is, by its SRV record (RFC 2782).
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Location {
+    pub priority: u16,
+    pub weight: u16,
+    pub port: u16,
+    /// Empty: the service is decidedly not available there.
+    pub target: Name,
+}
+
+/// What its TXT record says (RFC 6763 section 6).
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Text {
+    pub zone: String,
+    pub cell: u64,
+    pub draining: bool,
+    /// Unix time in milliseconds.
+    pub boot_ms: Option<u64>,
+}
+
+impl Text {
+    /// Unknown keys are skipped, of a key that stands there twice the first counts (RFC 6763 section 6.4).
+    /// # Errors
+    /// Which key is wrong, and what would be right.
+    pub fn read(strings: &[Vec<u8>]) -> Result<Text, String> {
+        let mut text = Text::default();
+        let mut seen = Vec::new();
+        for string in strings {
+            let mut parts = string.splitn(2, |&b| b == b'=');
+            let key = String::from_utf8_lossy(parts.next().unwrap_or_default()).to_ascii_lowercase();
+            if !["zone", "cell", "state", "boot", "proto"].contains(&key.as_str()) || seen.contains(&key) {
+                continue;
+            }
+            let value = parts.next().unwrap_or_default();
+            let plain = value.len() <= VALUE_BYTES && value.iter().all(u8::is_ascii_graphic);
+            let value = std::str::from_utf8(value).unwrap_or_default();
+            let wrong = |right: &str| Err(format!("TXT key {key} is {value:?}, not {right}"));
+            match key.as_str() {
+                _ if !plain || value.is_empty() => return wrong("up to 64 visible ASCII characters"),
+                "zone" => text.zone = value.into(),
+                "cell" => match value.parse() {
+                    Ok(cell) => text.cell = cell,
+                    Err(_) => return wrong("a whole number"),
+                },
+                "state" => match value {
+                    "ready" => {}
+                    "draining" => text.draining = true,
+                    _ => return wrong("ready or draining"),
+                },
+                "boot" => match value.parse() {
+                    Ok(ms) => text.boot_ms = Some(ms),
+                    Err(_) => return wrong("a Unix time in milliseconds"),
+                },
+                _ if PROTOCOLS.contains(&value) => {}
+                _ => return wrong("http/1.1"),
+            }
+            seen.push(key);
+        }
+        Ok(text)
+    }
+}
+
+/// Of several SRV records of one instance the one that RFC 2782 would try first, and always the same.
+pub fn first_choice(mut locations: Vec<Location>) -> Option<Location> {
+    locations.sort_by(|a, b| (a.priority, b.weight, a).cmp(&(b.priority, a.weight, b)));
+    locations.into_iter().next()
+}
+
+/// An instance's address: IPv4 before IPv6, of several the lowest, so that every gateway takes the same.
+pub fn address(addresses: &[IpAddr]) -> Option<IpAddr> {
+    let fine = |a: &&IpAddr| !a.is_unspecified() && !a.is_multicast();
+    addresses.iter().filter(fine).min().copied()
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn read(strings: &[&str]) -> Result<Text, String> {
+        Text::read(&strings.iter().map(|s| s.as_bytes().to_vec()).collect::<Vec<_>>())
+    }
+
+    #[test]
+    fn known_keys_are_read_and_others_skipped() {
+        let text =
+            read(&["txtvers=1", "Zone=hall-a", "cell=3", "zone=hall-b", "state=draining", "boot=17", ""]);
+        let right = Text { zone: "hall-a".into(), cell: 3, draining: true, boot_ms: Some(17) };
+        assert_eq!(text, Ok(right));
+        assert_eq!(read(&[""]), Ok(Text::default()));
+    }
+
+    #[test]
+    fn a_bad_value_says_what_would_be_right() {
+        for (string, right) in [
+            ("cell=x", "whole number"),
+            ("state=busy", "ready or draining"),
+            ("boot=-1", "milliseconds"),
+            ("proto=gopher", "http/1.1"),
+            ("zone", "visible ASCII"),
+            ("zone=a b", "visible ASCII"),
+        ] {
+            assert!(read(&[string]).is_err_and(|e| e.contains(right)), "{string}");
+        }
+    }
+
+    #[test]
+    fn of_several_locations_all_gateways_take_one() {
+        let at = |priority, weight, port| Location { priority, weight, port, target: "h".into() };
+        let all = vec![at(2, 9, 1), at(1, 5, 2), at(1, 7, 4), at(1, 7, 3)];
+        let mut turned = all.clone();
+        turned.reverse();
+        assert_eq!(first_choice(all), Some(at(1, 7, 3)));
+        assert_eq!(first_choice(turned), Some(at(1, 7, 3)));
+        let v6: IpAddr = "::1".parse().expect("v6");
+        let v4: IpAddr = "127.0.0.2".parse().expect("v4");
+        assert_eq!(address(&[v6, v4]), Some(v4));
+    }
+}
--- /dev/null
+++ b/crates/membership/src/lib.rs
@@ -0,0 +1,10 @@
+//! Where the servers are. [`list`] follows the list agent, [`dnssd`] reads DNS-SD records; [`source`] runs whichever is
+//! configured and, through [`roster`], goes from one to the other without cutting anything short.
+#![forbid(unsafe_code)]
+
+pub mod dnssd;
+pub mod list;
+mod roster;
+mod source;
+
+pub use source::{run, Source};
--- a/gateway/src/discovery.rs
+++ b/crates/membership/src/list.rs
@@ -1,17 +1,15 @@
-//! The list of servers: the form in which discovery tells it, and the loop that watches it.
+//! The list of servers: the form in which the list agent tells it, and the loop that watches it.
 
-use crate::config::Addresses;
-use crate::driver::Driver;
-use crate::upstream::{Conn, Room};
+use crate::source::Desk;
+use frosthatch_engine::{Member, State};
+use frosthatch_http1::conn::{Conn, Room};
 use serde::{Deserialize, Deserializer};
 use std::cell::Cell;
 use std::fmt;
 use std::net::SocketAddr;
-use std::rc::Rc;
 use std::sync::atomic::AtomicUsize;
 use std::sync::Arc;
 use std::time::Duration;
-use tokio::sync::watch;
 use tokio::time::{sleep, timeout};
 use turndeck::ListKind;
 
@@ -24,50 +22,75 @@
 /// A list larger than this is nonsense.
 const LIST_BYTES: usize = 4 << 20;
 
-#[derive(Deserialize, Default)]
+#[derive(Debug, Deserialize, Default)]
 pub struct ServerList {
     pub rev: u64,
     pub all: bool,
     #[serde(deserialize_with = "readable")]
-    pub targets: Vec<Target>,
+    pub targets: Vec<Member>,
+}
+
+/// The entries of a list that make no sense, by their place, and why.
+pub fn unreadable(list: &serde_json::Value) -> Vec<(usize, String)> {
+    let entries = list.get("targets").and_then(|t| t.as_array()).map_or(&[][..], |t| &t[..]);
+    let why = |e: &serde_json::Value| Target::deserialize(e).err().map(|e| e.to_string());
+    entries.iter().enumerate().filter_map(|(n, e)| Some((n, why(e)?))).collect()
 }
 
 /// Guards against an entry that makes no sense: it is left out, the rest of the list holds.
-fn readable<'de, D: Deserializer<'de>>(from: D) -> Result<Vec<Target>, D::Error> {
+fn readable<'de, D: Deserializer<'de>>(from: D) -> Result<Vec<Member>, D::Error> {
     let entries = Vec::<serde_json::Value>::deserialize(from)?;
     let read = |entry: serde_json::Value| {
         let target = Target::deserialize(&entry);
-        target.inspect_err(|e| eprintln!("a server in the list makes no sense: {e}")).ok()
+        target.inspect_err(|e| eprintln!("a server in the list makes no sense: {e}")).ok().map(Member::from)
     };
     Ok(entries.into_iter().filter_map(read).collect())
 }
 
 #[derive(Deserialize)]
-pub struct Target {
-    pub uid: String,
-    pub endpoint: SocketAddr,
+struct Target {
+    uid: String,
+    endpoint: SocketAddr,
     #[serde(default)]
-    pub az: String,
+    az: String,
     #[serde(default)]
-    pub pod_group: u64,
-    pub state: State,
+    pod_group: u64,
+    state: Told,
     #[serde(default = "one")]
-    pub capacity_hint: f64,
+    capacity_hint: f64,
     #[serde(default)]
-    pub boot_ms: u64,
+    boot_ms: u64,
 }
 
 fn one() -> f64 {
     1.0
 }
 
-#[derive(Deserialize, Clone, Copy, PartialEq, Eq)]
-pub enum State {
+#[derive(Deserialize)]
+enum Told {
     Ready,
     Terminating,
     Gone,
 }
 
+impl From<Target> for Member {
+    fn from(t: Target) -> Member {
+        Member {
+            uid: t.uid,
+            endpoint: t.endpoint,
+            zone: t.az,
+            cell: t.pod_group,
+            state: match t.state {
+                Told::Ready => State::Ready,
+                Told::Terminating => State::Draining,
+                Told::Gone => State::Gone,
+            },
+            share: t.capacity_hint,
+            boot_ms: t.boot_ms,
+        }
+    }
+}
+
 /// Why a call to discovery brought nothing.
 enum CallError {
     Silent,
@@ -87,21 +110,9 @@
     }
 }
 
-/// Follows the list for good, wherever discovery stands.
-pub async fn watch(mut addresses: watch::Receiver<Addresses>, driver: Rc<Driver>) {
-    loop {
-        let address = addresses.borrow_and_update().discovery;
-        tokio::select! {
-            () = follow(address, &driver) => {}
-            // The versions of the old one mean nothing at the new one: it begins with the whole list.
-            moved = addresses.wait_for(|now| now.discovery != address) => if moved.is_err() { return },
-        }
-    }
-}
-
 /// Follows the list of one discovery. An error or a silence keeps the last list; a broken watch goes on from its
 /// version.
-async fn follow(address: SocketAddr, driver: &Rc<Driver>) {
+pub(crate) async fn follow(address: SocketAddr, desk: &Desk) {
     let mut conn = None;
     let mut rev = None;
     let mut backoff = BACKOFF_LEAST;
@@ -111,7 +122,7 @@
             Ok(list) => {
                 (rev, backoff, failing) = (Some(list.rev), BACKOFF_LEAST, false);
                 let kind = if list.all { ListKind::Complete } else { ListKind::Partial };
-                driver.servers(kind, list.targets);
+                desk.tell(kind, list.targets);
             }
             Err(e) => {
                 if !std::mem::replace(&mut failing, true) {
--- /dev/null
+++ b/crates/membership/src/source.rs
@@ -0,0 +1,79 @@
+//! Runs the source that is configured, and carries what it tells to the engine.
+
+use crate::dnssd;
+use crate::list;
+use crate::roster::Roster;
+use frosthatch_engine::{Engine, Member};
+use std::cell::RefCell;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::sync::watch;
+use tokio::time::sleep;
+use turndeck::ListKind;
+
+#[derive(Clone, PartialEq)]
+pub enum Source {
+    /// The list agent at this address.
+    List(SocketAddr),
+    DnsSd(Arc<dnssd::Plan>),
+}
+
+/// Where a source's news go.
+pub(crate) struct Desk {
+    engine: Rc<Engine>,
+    roster: RefCell<Roster>,
+}
+
+impl Desk {
+    pub fn tell(&self, kind: ListKind, members: Vec<Member>) {
+        let members = self.roster.borrow_mut().hear(self.engine.now(), kind, members);
+        self.engine.servers(kind, members);
+    }
+
+    pub fn now(&self) -> u64 {
+        self.engine.now()
+    }
+
+    pub fn known(&self) -> Vec<Member> {
+        self.roster.borrow().known().cloned().collect()
+    }
+}
+
+/// Follows the servers for good, wherever they are told. `known` are those from before the start; `seed` is the only
+/// source of chance.
+pub async fn run(mut sources: watch::Receiver<Source>, known: Vec<Member>, seed: u64, engine: Rc<Engine>) {
+    let desk = Rc::new(Desk { engine, roster: RefCell::default() });
+    desk.tell(ListKind::Persisted, known);
+    tokio::task::spawn_local(let_go(desk.clone()));
+    loop {
+        let source = sources.borrow_and_update().clone();
+        let follow = async {
+            match &source {
+                Source::List(address) => list::follow(*address, &desk).await,
+                Source::DnsSd(plan) => dnssd::follow(plan.clone(), seed, &desk).await,
+            }
+        };
+        let moved = tokio::select! {
+            () = follow => return,
+            // What the old source told means nothing at the new one: it begins with the whole list.
+            moved = sources.wait_for(|now| *now != source) => moved.map(|now| now.clone()),
+        };
+        match (&source, moved) {
+            (_, Err(_)) => return,
+            // Another agent of the same list: its names are the same.
+            (Source::List(_), Ok(Source::List(_))) => {}
+            _ => desk.roster.borrow_mut().take_over(),
+        }
+    }
+}
+
+async fn let_go(desk: Rc<Desk>) {
+    loop {
+        sleep(Duration::from_millis(500)).await;
+        let now = desk.engine.now();
+        let gone = desk.roster.borrow_mut().due(now);
+        desk.engine.servers(ListKind::Partial, gone);
+    }
+}
--- /dev/null
+++ b/crates/standins/src/http.rs
@@ -0,0 +1,168 @@
+//! Servers that answer over HTTP/1.1 as a test says, and clients that read the answers.
+
+use std::io::{BufRead, BufReader, Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::sync::mpsc::{channel, Receiver, Sender};
+use std::sync::Arc;
+use std::thread;
+use std::time::{Duration, Instant};
+
+/// Nothing here takes this long, on however busy a machine.
+pub const LONG: Duration = Duration::from_secs(20);
+
+/// One message of HTTP/1.1, as it came.
+#[derive(Clone, Debug, Default)]
+pub struct Message {
+    pub line: String,
+    pub headers: Vec<(String, String)>,
+    pub body: String,
+    /// How long its connection had been idle; at a server only, and not for a connection's first.
+    pub idle: Option<Duration>,
+}
+
+impl Message {
+    pub fn header(&self, name: &str) -> Option<&str> {
+        self.headers.iter().find(|(n, _)| n.eq_ignore_ascii_case(name)).map(|(_, v)| v.as_str())
+    }
+
+    pub fn status(&self) -> u16 {
+        self.line.split(' ').nth(1).and_then(|s| s.parse().ok()).unwrap_or(0)
+    }
+}
+
+/// Reads one message; none if the connection ends first.
+pub fn read_message(from: &mut impl BufRead) -> Option<Message> {
+    let mut message = Message::default();
+    let mut line = String::new();
+    while from.read_line(&mut line).ok()? > 0 {
+        let text = line.trim_end();
+        match text.split_once(':') {
+            _ if message.line.is_empty() => message.line = text.into(),
+            Some((name, value)) => message.headers.push((name.into(), value.trim().into())),
+            None => {
+                let length = message.header("content-length").map_or(0, |v| v.parse().unwrap_or(0));
+                let mut body = vec![0; length];
+                from.read_exact(&mut body).ok()?;
+                message.body = String::from_utf8_lossy(&body).into();
+                return Some(message);
+            }
+        }
+        line.clear();
+    }
+    None
+}
+
+/// What a stand-in server does with a request.
+pub enum Reply {
+    /// These bytes, then the next request.
+    Bytes(String),
+    /// These bytes, then, a little later, these.
+    Twice(String, String),
+    /// These bytes, then, a little later, the end of the connection.
+    Last(String),
+    /// The end of the connection.
+    End,
+    /// Nothing, for as long as the gateway stays.
+    Silence,
+}
+
+pub fn ok(body: &str) -> Reply {
+    Reply::Bytes(format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{body}", body.len()))
+}
+
+pub fn status(line: &str) -> Reply {
+    Reply::Bytes(format!("HTTP/1.1 {line}\r\nContent-Length: 0\r\n\r\n"))
+}
+
+pub fn never_ran() -> Reply {
+    status("503 Service Unavailable\r\nX-Never-Ran: 1")
+}
+
+/// What happens at a server, in order.
+#[derive(Debug)]
+pub enum Seen {
+    Connected,
+    Request(Message),
+    /// The gateway ended a connection.
+    Closed,
+}
+
+pub struct Server {
+    pub address: SocketAddr,
+    pub seen: Receiver<Seen>,
+}
+
+impl Server {
+    pub fn new(reply: impl Fn(&Message) -> Reply + Send + Sync + 'static) -> Server {
+        let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+        let address = listener.local_addr().expect("an address");
+        let (tell, seen) = channel();
+        let reply = Arc::new(reply);
+        thread::spawn(move || {
+            for stream in listener.incoming().flatten() {
+                let (tell, reply) = (tell.clone(), reply.clone());
+                let _ = tell.send(Seen::Connected);
+                thread::spawn(move || {
+                    converse(stream, &tell, &*reply);
+                    let _ = tell.send(Seen::Closed);
+                });
+            }
+        });
+        Server { address, seen }
+    }
+
+    /// The next request, once it has come.
+    pub fn request(&self) -> Message {
+        loop {
+            if let Seen::Request(m) = self.seen.recv_timeout(LONG).expect("a request comes") {
+                return m;
+            }
+        }
+    }
+
+    /// Waits until the gateway ends a connection.
+    pub fn closed(&self) {
+        while !matches!(self.seen.recv_timeout(LONG).expect("a connection ends"), Seen::Closed) {}
+    }
+
+    /// All that has happened so far.
+    pub fn so_far(&self) -> Vec<Seen> {
+        self.seen.try_iter().collect()
+    }
+
+    pub fn requests_so_far(&self) -> usize {
+        self.so_far().iter().filter(|s| matches!(s, Seen::Request(_))).count()
+    }
+}
+
+fn converse(stream: TcpStream, tell: &Sender<Seen>, reply: &dyn Fn(&Message) -> Reply) {
+    let Ok(mut write) = stream.try_clone() else { return };
+    let mut read = BufReader::new(stream);
+    let mut since: Option<Instant> = None;
+    while let Some(mut message) = read_message(&mut read) {
+        message.idle = since.map(|s| s.elapsed());
+        let _ = tell.send(Seen::Request(message.clone()));
+        match reply(&message) {
+            Reply::Bytes(bytes) => {
+                let _ = write.write_all(bytes.as_bytes());
+            }
+            Reply::Twice(bytes, more) => {
+                let _ = write.write_all(bytes.as_bytes());
+                thread::sleep(Duration::from_millis(2));
+                let _ = write.write_all(more.as_bytes());
+            }
+            Reply::Last(bytes) => {
+                let _ = write.write_all(bytes.as_bytes());
+                thread::sleep(Duration::from_millis(30));
+                let _ = write.shutdown(std::net::Shutdown::Both);
+                return;
+            }
+            Reply::End => return,
+            Reply::Silence => {
+                let _ = read.read(&mut [0]);
+                return;
+            }
+        }
+        since = Some(Instant::now());
+    }
+}
--- /dev/null
+++ b/crates/standins/src/lib.rs
@@ -0,0 +1,17 @@
+//! Stand-ins on loopback: servers, list agents, counters, resolvers and clients that do as a test says, and the real
+//! program between them. Written from the protocol pages and RFCs; nothing of the gateway's own code is used.
+#![forbid(unsafe_code)]
+
+pub mod agent;
+pub mod counter;
+pub mod http;
+pub mod program;
+pub mod resolver;
+pub mod zone;
+
+pub use agent::*;
+pub use counter::*;
+pub use http::*;
+pub use program::*;
+pub use resolver::*;
+pub use zone::*;
--- /dev/null
+++ b/crates/standins/src/zone.rs
@@ -0,0 +1,300 @@
+//! A zone with DNS-SD records and the answers that it gives (RFC 1035, 2782, 6763). No I/O.
+
+use domain::base::iana::{Class, Rcode, Rtype};
+use domain::base::message_builder::{AnswerBuilder, HashCompressor};
+use domain::base::name::Name;
+use domain::base::record::Ttl;
+use domain::base::{Message, MessageBuilder, Record, Serial};
+use domain::rdata::{Aaaa, Cname, Ptr, Soa, Srv, Txt, A};
+use std::collections::BTreeMap;
+use std::net::{IpAddr, Ipv4Addr, Ipv6Addr, SocketAddr};
+use std::str::FromStr;
+
+type Dname = Name<Vec<u8>>;
+
+/// What a record says.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Rr {
+    Ptr(String),
+    Srv(u16, u16, u16, String),
+    Txt(Vec<String>),
+    A(Ipv4Addr),
+    Aaaa(Ipv6Addr),
+    Cname(String),
+}
+
+/// One change of a zone: a record that was added or removed.
+#[derive(Clone, Debug)]
+pub struct ZoneChange {
+    pub added: bool,
+    pub owner: String,
+    pub rr: Rr,
+}
+
+/// The records under one domain, and how they are handed out.
+pub struct Zone {
+    pub domain: String,
+    pub serial: u32,
+    pub ttl: u32,
+    /// Whether answers have the AA bit.
+    pub authoritative: bool,
+    /// Whether an answer to PTR brings SRV, TXT and A along (RFC 6763 section 12.1).
+    pub additional: bool,
+    records: BTreeMap<String, Vec<Rr>>,
+    changes: Vec<ZoneChange>,
+}
+
+fn dname(text: &str) -> Dname {
+    Name::from_str(text).expect("a domain name")
+}
+
+/// Names are looked up without regard to case and escapes.
+fn key(text: &str) -> String {
+    dname(text).to_string().to_ascii_lowercase()
+}
+
+impl Zone {
+    pub fn new(domain: &str) -> Zone {
+        Zone {
+            domain: domain.into(),
+            serial: 1,
+            ttl: 10,
+            authoritative: true,
+            additional: true,
+            records: BTreeMap::new(),
+            changes: Vec::new(),
+        }
+    }
+
+    pub fn add(&mut self, owner: &str, rr: Rr) {
+        self.serial += 1;
+        self.changes.push(ZoneChange { added: true, owner: owner.into(), rr: rr.clone() });
+        self.records.entry(key(owner)).or_default().push(rr);
+    }
+
+    /// Removes the records of an owner that fit.
+    pub fn remove(&mut self, owner: &str, fits: impl Fn(&Rr) -> bool) {
+        self.serial += 1;
+        let Some(all) = self.records.get_mut(&key(owner)) else { return };
+        for rr in all.iter().filter(|rr| fits(rr)) {
+            self.changes.push(ZoneChange { added: false, owner: owner.into(), rr: rr.clone() });
+        }
+        all.retain(|rr| !fits(rr));
+        if all.is_empty() {
+            self.records.remove(&key(owner));
+        }
+    }
+
+    /// An instance of a service, on a host of the same name.
+    pub fn add_instance(&mut self, service: &str, instance: &str, at: SocketAddr, text: &[&str]) {
+        let (full, host) = (format!("{instance}.{service}"), format!("{instance}.host.{}", self.domain));
+        match at.ip() {
+            IpAddr::V4(ip) => self.add(&host, Rr::A(ip)),
+            IpAddr::V6(ip) => self.add(&host, Rr::Aaaa(ip)),
+        }
+        self.add(&full, Rr::Srv(0, 0, at.port(), host));
+        self.add(&full, Rr::Txt(text.iter().map(|t| t.to_string()).collect()));
+        self.add(service, Rr::Ptr(full));
+    }
+
+    /// Takes an instance's PTR record away and, with them, its others.
+    pub fn remove_instance(&mut self, service: &str, instance: &str) {
+        let full = format!("{instance}.{service}");
+        let same = key(&full);
+        self.remove(service, |rr| matches!(rr, Rr::Ptr(n) if key(n) == same));
+        self.remove(&full, |_| true);
+        self.remove(&format!("{instance}.host.{}", self.domain), |_| true);
+    }
+
+    /// What has changed since the last call.
+    pub fn take_changes(&mut self) -> Vec<ZoneChange> {
+        std::mem::take(&mut self.changes)
+    }
+
+    pub fn records(&self, owner: &str) -> &[Rr] {
+        self.records.get(&key(owner)).map_or(&[], |all| all)
+    }
+
+    /// The answer to a query, in so many bytes at most; none if the query cannot be read.
+    pub fn answer(&self, query: &[u8], most: usize) -> Option<Vec<u8>> {
+        let query = Message::from_octets(query).ok()?;
+        let question = query.sole_question().ok()?;
+        let (qname, qtype) = (question.qname().to_string(), question.qtype());
+        let mut builder = MessageBuilder::from_target(HashCompressor::new(Vec::new())).ok()?;
+        builder.set_push_limit(most);
+        let header = builder.header_mut();
+        header.set_id(query.header().id());
+        header.set_qr(true);
+        header.set_rd(query.header().rd());
+        header.set_aa(self.authoritative);
+        let mut message = builder.question();
+        message.push(question).ok()?;
+        let mut answer = message.answer();
+        let mut owner = qname;
+        let mut found = Vec::new();
+        let mut fits = true;
+        // A loop of CNAMEs ends here, too.
+        for _ in 0..4 {
+            let here: Vec<Rr> = self.records(&owner).iter().filter(|rr| rr.is(qtype)).cloned().collect();
+            let alias = self.records(&owner).iter().find(|rr| matches!(rr, Rr::Cname(_)));
+            for rr in &here {
+                fits &= self.push(&mut answer, &owner, rr);
+            }
+            found.extend(here);
+            match alias {
+                Some(rr @ Rr::Cname(to)) if qtype != Rtype::CNAME => {
+                    fits &= self.push(&mut answer, &owner, rr);
+                    owner = to.clone();
+                }
+                _ => break,
+            }
+        }
+        let apex = key(&owner) == key(&self.domain);
+        if qtype == Rtype::SOA && apex {
+            fits &= answer.push(self.soa()).is_ok();
+        }
+        if !apex && !self.exists(&owner) {
+            answer.header_mut().set_rcode(Rcode::NXDOMAIN);
+        }
+        if !fits {
+            answer.header_mut().set_tc(true);
+            return Some(answer.finish().into_target());
+        }
+        let mut authority = answer.authority();
+        if found.is_empty() && !(qtype == Rtype::SOA && apex) {
+            let _ = authority.push(self.soa());
+        }
+        let mut additional = authority.additional();
+        if self.additional && qtype == Rtype::PTR {
+            'all: for rr in &found {
+                let Rr::Ptr(instance) = rr else { continue };
+                for rr in self.records(instance) {
+                    let mut fits = add(&mut additional, self.ttl, instance, rr);
+                    if let Rr::Srv(.., target) = rr {
+                        for a in self.records(target) {
+                            fits &= add(&mut additional, self.ttl, target, a);
+                        }
+                    }
+                    if !fits {
+                        break 'all;
+                    }
+                }
+            }
+        }
+        Some(additional.finish().into_target())
+    }
+
+    /// The name, or one under it, has records.
+    fn exists(&self, owner: &str) -> bool {
+        let (owner, under) = (key(owner), format!(".{}", key(owner)));
+        self.records.contains_key(&owner) || self.records.keys().any(|k| k.ends_with(&under))
+    }
+
+    fn soa(&self) -> Record<Dname, Soa<Dname>> {
+        let (apex, ttl) = (dname(&self.domain), Ttl::from_secs(self.ttl));
+        let soa = Soa::new(apex.clone(), apex.clone(), Serial(self.serial), ttl, ttl, ttl, ttl);
+        Record::new(apex, Class::IN, ttl, soa)
+    }
+
+    fn push(&self, to: &mut AnswerBuilder<HashCompressor<Vec<u8>>>, owner: &str, rr: &Rr) -> bool {
+        let (owner, ttl) = (dname(owner), Ttl::from_secs(self.ttl));
+        match rr {
+            Rr::Ptr(n) => to.push((owner, ttl, Ptr::new(dname(n)))).is_ok(),
+            Rr::Srv(p, w, port, n) => to.push((owner, ttl, Srv::new(*p, *w, *port, dname(n)))).is_ok(),
+            Rr::Txt(strings) => to.push((owner, ttl, text(strings))).is_ok(),
+            Rr::A(a) => to.push((owner, ttl, A::new(*a))).is_ok(),
+            Rr::Aaaa(a) => to.push((owner, ttl, Aaaa::new(*a))).is_ok(),
+            Rr::Cname(n) => to.push((owner, ttl, Cname::new(dname(n)))).is_ok(),
+        }
+    }
+}
+
+fn add(
+    to: &mut domain::base::message_builder::AdditionalBuilder<HashCompressor<Vec<u8>>>,
+    ttl: u32,
+    owner: &str,
+    rr: &Rr,
+) -> bool {
+    let (owner, ttl) = (dname(owner), Ttl::from_secs(ttl));
+    match rr {
+        Rr::Ptr(n) => to.push((owner, ttl, Ptr::new(dname(n)))).is_ok(),
+        Rr::Srv(p, w, port, n) => to.push((owner, ttl, Srv::new(*p, *w, *port, dname(n)))).is_ok(),
+        Rr::Txt(strings) => to.push((owner, ttl, text(strings))).is_ok(),
+        Rr::A(a) => to.push((owner, ttl, A::new(*a))).is_ok(),
+        Rr::Aaaa(a) => to.push((owner, ttl, Aaaa::new(*a))).is_ok(),
+        Rr::Cname(n) => to.push((owner, ttl, Cname::new(dname(n)))).is_ok(),
+    }
+}
+
+fn text(strings: &[String]) -> Txt<Vec<u8>> {
+    let mut rdata = Vec::new();
+    for s in strings {
+        rdata.push(s.len() as u8);
+        rdata.extend(s.as_bytes());
+    }
+    if rdata.is_empty() {
+        rdata.push(0);
+    }
+    Txt::from_octets(rdata).expect("strings of a TXT record")
+}
+
+impl Rr {
+    pub fn rtype(&self) -> Rtype {
+        match self {
+            Rr::Ptr(_) => Rtype::PTR,
+            Rr::Srv(..) => Rtype::SRV,
+            Rr::Txt(_) => Rtype::TXT,
+            Rr::A(_) => Rtype::A,
+            Rr::Aaaa(_) => Rtype::AAAA,
+            Rr::Cname(_) => Rtype::CNAME,
+        }
+    }
+
+    fn is(&self, qtype: Rtype) -> bool {
+        qtype == Rtype::ANY || qtype == self.rtype()
+    }
+
+    /// The record as it stands in a push message: no name is compressed (RFC 8765 section 6.3.1).
+    pub fn pushed(&self, owner: &str, ttl: u32) -> Vec<u8> {
+        let mut out = Vec::new();
+        let (owner, ttl) = (dname(owner), Ttl::from_secs(ttl));
+        let class = Class::IN;
+        let done = match self {
+            Rr::Ptr(n) => Record::new(owner, class, ttl, Ptr::new(dname(n))).compose(&mut out),
+            Rr::Srv(p, w, port, n) => {
+                Record::new(owner, class, ttl, Srv::new(*p, *w, *port, dname(n))).compose(&mut out)
+            }
+            Rr::Txt(strings) => Record::new(owner, class, ttl, text(strings)).compose(&mut out),
+            Rr::A(a) => Record::new(owner, class, ttl, A::new(*a)).compose(&mut out),
+            Rr::Aaaa(a) => Record::new(owner, class, ttl, Aaaa::new(*a)).compose(&mut out),
+            Rr::Cname(n) => Record::new(owner, class, ttl, Cname::new(dname(n))).compose(&mut out),
+        };
+        done.expect("a vector takes it");
+        out
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn two_thousand_instances_fit_one_answer_over_tcp() {
+        let mut zone = Zone::new("example.org");
+        let service = "_topup._tcp.example.org";
+        for n in 0..2_000u16 {
+            let at = SocketAddr::from(([127, 1, (n / 250) as u8, (n % 250) as u8], 80));
+            zone.add_instance(service, &format!("n{n}"), at, &["zone=hall-a"]);
+        }
+        let mut query = MessageBuilder::new_vec().question();
+        query.push((dname(service), Rtype::PTR)).expect("a question");
+        let query = query.finish();
+        let over_udp =
+            Message::from_octets(zone.answer(&query, 1_232).expect("an answer")).expect("a message");
+        assert!(over_udp.header().tc());
+        let answer = zone.answer(&query, 65_535).expect("an answer");
+        assert!(answer.len() < 65_536, "{}", answer.len());
+        let answer = Message::from_octets(answer).expect("a message");
+        assert_eq!((answer.header().tc(), answer.header_counts().ancount()), (false, 2_000));
+    }
+}
--- a/src/interface.rs
+++ b/crates/turndeck/src/interface.rs
@@ -158,31 +158,37 @@
 impl Settings {
     /// Settings that make no sense are told with what to correct.
     pub(crate) fn validate(&self) -> Result<(), SettingsError> {
-        let bad = |what: &str| Err(SettingsError(what.into()));
+        self.mistakes().into_iter().next().map_or(Ok(()), |m| Err(SettingsError(m)))
+    }
+
+    /// All that makes no sense, each with what would be right.
+    pub fn mistakes(&self) -> Vec<String> {
+        let mut bad = Vec::new();
         let fine = |v: f64| v.is_finite() && v >= 0.0;
         if self.classes.is_empty() || self.plans.is_empty() {
-            return bad("give at least one class and one plan");
+            bad.push("give at least one class and one plan".to_string());
         }
         if self.gateways == 0 || self.me >= self.gateways {
-            return bad("`gateways` must be at least 1 and `me` below it");
+            bad.push("`gateways` must be at least 1 and `me` below it".into());
         }
-        if !self.classes.iter().all(|c| fine(c.worth) && fine(c.late_worth) && c.aim_us > 0) {
-            return bad("a class needs a positive aim and finite, non-negative worths");
+        for c in self.classes.iter().filter(|c| !(fine(c.worth) && fine(c.late_worth) && c.aim_us > 0)) {
+            bad.push(format!("class {:?} needs a positive aim and finite, non-negative worths", c.name));
         }
-        let plan_fine = |p: &Plan| {
+        let plan_fine = |p: &&Plan| {
             let ceiling = p.ceiling.is_none_or(|c| fine(c.rate) && fine(c.depth));
             ceiling && [p.rate, p.burst, p.price, p.excess_worth, p.overrun_cost].into_iter().all(fine)
         };
-        if !self.plans.iter().all(plan_fine) {
-            return bad(
-                "a plan's rate, burst, price, worth, cost and ceiling must be finite and not negative",
-            );
+        for p in self.plans.iter().filter(|p| !plan_fine(p)) {
+            bad.push(format!(
+                "plan {:?}: rate, burst, price, worth, cost and ceiling must be finite and not negative",
+                p.name
+            ));
         }
         let cold = [self.cold.from, self.cold.tip_multiple];
         if !cold.into_iter().chain([self.mail_per_s, self.cross_zone_cost, self.most_units]).all(fine) {
-            return bad("cold start, mail, zone cost and units must be finite and not negative");
+            bad.push("cold start, mail, zone cost and units must be finite and not negative".into());
         }
-        Ok(())
+        bad
     }
 
     /// A small valid configuration, for trials: one gateway, one repeatable class `read`, one plan `basic`.
