--- /dev/null
+++ b/crates/frosthatch/tests/command_line.rs
@@ -0,0 +1,85 @@
+//! The command line: check, help, version.
+
+mod common;
+use common::*;
+use std::process::Output;
+
+fn run(config: &str, operator: Option<&str>, words: &[&str]) -> Output {
+    let config = config_file(config);
+    let operator = operator.map(config_file);
+    let mut command = command(&config);
+    command.args(words);
+    if let Some(file) = &operator {
+        command.arg("--operator").arg(file);
+    }
+    let out = command.output().expect("it runs");
+    let _ = std::fs::remove_file(config);
+    operator.map(std::fs::remove_file);
+    out
+}
+
+fn lines(out: &Output) -> Vec<String> {
+    String::from_utf8_lossy(&out.stdout).lines().map(String::from).collect()
+}
+
+fn fine() -> String {
+    config_text("127.0.0.1:1".parse().expect("an address"), None, 2, "")
+}
+
+#[test]
+fn check_finds_nothing_wrong_with_files_in_order() {
+    let operator = "[membership]\nsource = \"dns-sd\"\n[dns-sd]\nservices = [\"_t._tcp.example.org\"]\nresolvers = [\"127.0.0.1:53\"]\n";
+    for operator in [None, Some(operator)] {
+        let out = run(&fine(), operator, &["check"]);
+        assert_eq!((out.status.code(), lines(&out)), (Some(0), vec!["no mistakes".into()]));
+    }
+}
+
+#[test]
+fn check_tells_every_mistake_in_both_files_with_place_and_what_is_right() {
+    let config = fine()
+        .replace("\"sockets\":256", "\"sockets\":8")
+        .replace("\"listen\":\"127.0.0.1:0\"", "\"listen\":\"here\"")
+        .replace(
+            "\"aimUs\":4000000,\"deadlineUs\":8000000,\"effect\":\"repeatable\"",
+            "\"aimUs\":\"long\",\"deadlineUs\":8000000,\"effect\":\"repeatable\"",
+        )
+        .replace("\"burst\":6", "\"burst\":[]")
+        .replace("\"targets\":[]", "\"targets\":[{\"uid\":\"x\"}]");
+    let operator = "[membership]\nsource = \"dns\"\nport = 5\n";
+    let out = run(&config, Some(operator), &["check"]);
+    let said = lines(&out);
+    assert_eq!(out.status.code(), Some(1), "{said:?}");
+    for (place, right) in [
+        ("limits.sockets", "from 64 on"),
+        ("listen", "an address and a port"),
+        ("settings.services[0].aimUs", "correct its type"),
+        ("settings.tariffs[2].burst", "correct its type"),
+        ("known.targets[0]", "endpoint"),
+        ("line 2", "[\"list\", \"dns-sd\"]"),
+        ("line 3", "membership.port is not known"),
+    ] {
+        let told = said.iter().any(|l| l.contains(&format!(": {place}: ")) && l.contains(right));
+        assert!(told, "{place}: {said:#?}");
+    }
+    assert_eq!(said.last().map(String::as_str), Some("7 mistakes"), "{said:#?}");
+}
+
+#[test]
+fn settings_that_make_no_sense_are_all_told() {
+    let config =
+        fine().replace("\"balancers\":2", "\"balancers\":0").replace("\"pays\":1.0", "\"pays\":-1.0");
+    let out = run(&config, None, &["check"]);
+    // Too few gateways, and three plans.
+    assert_eq!(lines(&out).last().map(String::as_str), Some("4 mistakes"), "{:#?}", lines(&out));
+}
+
+#[test]
+fn help_and_version_name_what_there_is() {
+    let help = run(&fine(), None, &["--help"]);
+    let text = lines(&help).join("\n");
+    assert!(help.status.success() && text.contains("check") && text.contains("--operator"), "{text}");
+    let version = run(&fine(), None, &["--version"]);
+    assert!(lines(&version)[0].starts_with("frosthatch "));
+    assert_eq!(run(&fine(), None, &["--wrong"]).status.code(), Some(2));
+}
--- a/crates/membership/src/dnssd/browser.rs
+++ b/crates/membership/src/dnssd/browser.rs
@@ -25,8 +25,10 @@
 const COMPLETE_US: u64 = 1_000_000;
 /// Push that has not told a change this long after a round has found it is not believed.
 const UNTOLD_US: u64 = 1_000_000;
-/// Details that push tells, and a serial that is not told, are asked for so seldom.
-const COVERED_US: u64 = 30_000_000;
+/// A serial that is not told is asked for so seldom.
+const SERIAL_US: u64 = 30_000_000;
+/// Details that push tells are asked for so seldom: while a session lives they are as told (RFC 8765 section 6.3).
+const COVERED_US: u64 = 300_000_000;
 /// Log lines at once, and one more after each such time.
 const LINES: u64 = 8;
 const LINE_US: u64 = 2_000_000;
@@ -601,7 +603,7 @@
             return self.round_failed(now, out);
         }
         if round.serial.is_none() {
-            self.serial_at = now + COVERED_US;
+            self.serial_at = now + SERIAL_US;
         }
         if std::mem::take(&mut self.fails) >= FAILS {
             self.log(now, "dns-sd: resolvers answer again".into(), out);
--- a/crates/standins/src/agent.rs
+++ b/crates/standins/src/agent.rs
@@ -51,13 +51,16 @@
 
     /// A change, or a whole list; returns once the gateway has been told and has asked again.
     pub fn tell(&self, all: bool, targets: &str) {
-        {
-            let mut told = self.told.lock().expect("discovery");
-            (told.rev, told.all, told.targets) = (told.rev + 1, all, targets.into());
-        }
+        self.post(all, targets);
         self.asked_again(2);
     }
 
+    /// The same, and returns at once. A change that nobody asks for before the next is never told.
+    pub fn post(&self, all: bool, targets: &str) {
+        let mut told = self.told.lock().expect("discovery");
+        (told.rev, told.all, told.targets) = (told.rev + 1, all, targets.into());
+    }
+
     /// Waits until the gateway has asked so many times more.
     pub fn asked_again(&self, times: u64) {
         let calls = || self.told.lock().expect("discovery").calls;
--- a/crates/turndeck/src/control.rs
+++ b/crates/turndeck/src/control.rs
@@ -1,4 +1,4 @@
-//! Every decision of a gateway. Types, events and actions are in `src/interface.rs`.
+//! Every decision of a gateway. Types, events and actions are in `interface.rs`.
 //! A request is counted, its customer's bucket asked, then its cell's admit fraction, then a server chosen;
 //! an outcome is measured, retried or answered. Once an interval the fractions move.
 
@@ -58,6 +58,18 @@
 const CHOICE_CHANCE: f64 = 0.3; // least of a request that is chance in the choice, so gateways begin apart
 const ERROR_COST: f64 = 10.0; // times dearer is a server that fails everything
 const COLD_SHARE: f64 = 0.5; // of the cold budget that this gateway lets itself use
+const LOOKED_AT: usize = 64; // servers compared for a request: of more, so many drawn by chance are as good as all
+const TOTALS_US: Micros = 50_000; // µs; sums over so many servers are kept this long: short beside an interval
+
+/// Sums over the servers, as of a time.
+#[derive(Clone, Copy, Default)]
+struct Totals {
+    at: Micros,
+    out: f64,
+    ready: f64,
+    share: f64, // of the ready ones
+    size: f64,  // the same, as far as they are warm
+}
 
 /// One gateway's whole state.
 pub struct Gateway {
@@ -77,6 +89,8 @@
     heard_rates: Vec<Decayed>,                    // admitted rates told by peers, by cell
     heard_news: Decayed,                          // how many told them
     servers: BTreeMap<ServerId, Server>,
+    names: Vec<ServerId>, // the ready ones, where there are too many to look at all
+    totals: Totals,
     send_rate: Decayed,
     requests: BTreeMap<RequestId, Pending>,
     waiting: BTreeSet<RequestId>,
@@ -125,7 +139,7 @@
                 (l.sum, l.count) = (0.0, 0);
             }
         }
-        let rate = std::mem::take(&mut self.done) / INTERVAL_S / self.ready_size().max(1e-9);
+        let rate = std::mem::take(&mut self.done) / INTERVAL_S / self.sum_up().size.max(1e-9);
         self.throughput = rate.max(self.throughput * PEAK_KEPT);
         self.set_quotas();
         let before = self.cells.iter().any(|c| c.fraction < 1.0);
@@ -152,17 +166,32 @@
         self.servers.values().filter(|s| s.health == Health::Ready)
     }
 
-    fn ready_size(&self) -> f64 {
-        self.ready().map(|s| s.share * s.warmth(&self.set.cold, self.now)).sum()
+    /// Sums over the servers; over many of them they are not taken anew for each request.
+    fn totals(&self) -> Totals {
+        if self.names.is_empty() {
+            self.sum_up()
+        } else {
+            self.totals
+        }
+    }
+
+    fn sum_up(&self) -> Totals {
+        Totals {
+            at: self.now,
+            out: self.servers.values().map(|s| f64::from(s.out)).sum(),
+            ready: self.ready().count() as f64,
+            share: self.ready().map(|s| s.share).sum(),
+            size: self.ready().map(|s| s.share * s.warmth(&self.set.cold, self.now)).sum(),
+        }
     }
 
     /// Exception to the paper: by Little's law what is out, over the throughput, is how long a new request
     /// takes; past the bound it is refused at once, since retries fill queues before a fraction moves. Hurts
     /// where recent throughput is far below what servers can do, so a few attempts a server are always free.
     fn crowded(&self, class: usize) -> bool {
-        let out: f64 = self.servers.values().map(|s| f64::from(s.out)).sum();
-        let free = self.ready().count() as f64 * FREE_OUT / f64::from(self.set.gateways);
-        let rate = self.throughput * self.ready_size();
+        let Totals { out, ready, size, .. } = self.totals();
+        let free = ready * FREE_OUT / f64::from(self.set.gateways);
+        let rate = self.throughput * size;
         // One queue holds every class: the tightest bound holds for all, and the cheapest work waits first.
         let seen = || (0..self.latency.len()).filter(|&c| c == class || self.latency[c].lowest > 0.0);
         let best = seen().map(|c| self.value(c)).fold(f64::MIN_POSITIVE, f64::max);
@@ -719,6 +748,12 @@
             s.share = if e.share.is_finite() && e.share > 0.0 { e.share } else { 1.0 };
         }
         self.servers.retain(|_, s| s.health != Health::Removed || s.out > 0);
+        let ready = self.servers.iter().filter(|(_, s)| s.health == Health::Ready);
+        self.names = ready.map(|(name, _)| name.clone()).collect();
+        if self.names.len() <= LOOKED_AT {
+            self.names.clear();
+        }
+        self.totals = self.sum_up();
     }
 
     /// Sends left in this gateway's part of a cold server's budget, saved up from a part drawn by chance, so
@@ -734,12 +769,28 @@
 
     /// The cheapest server that the rules allow: least held for its size, times what is thought of it.
     fn choose(&mut self, id: RequestId) -> Option<(ServerId, f64)> {
+        if !self.names.is_empty() {
+            let ready = self.names.len() as u64;
+            let mut drawn = || self.names[((u64::from(self.rng.next_u32()) * ready) >> 32) as usize].clone();
+            let some: Vec<ServerId> = (0..LOOKED_AT).map(|_| drawn()).collect();
+            // Among them may be none, for a request that may only go to a few.
+            if let Some(chosen) = self.cheapest(id, Some(&some)) {
+                return Some(chosen);
+            }
+        }
+        self.cheapest(id, None)
+    }
+
+    /// The cheapest of some, or of all.
+    fn cheapest(&mut self, id: RequestId, of: Option<&[ServerId]>) -> Option<(ServerId, f64)> {
         let (p, now) = (self.requests.get(&id)?, self.now);
-        let total: f64 = self.ready().map(|s| s.share).sum();
+        let total = self.totals().share;
         let forget_us = self.forget_us();
         let unseen = 1.0 - 2.0 / f64::from(self.set.gateways);
         let mut best: Option<(bool, f64, &ServerId, f64)> = None;
-        for (name, s) in &self.servers {
+        let all = of.is_none().then_some(&self.servers).into_iter().flatten();
+        let some = of.unwrap_or_default().iter().filter_map(|name| self.servers.get_key_value(name));
+        for (name, s) in all.chain(some) {
             let warmth = s.warmth(&self.set.cold, now);
             let room = if warmth < 1.0 { self.cold_room(s, warmth, total) } else { 1.0 };
             if s.health != Health::Ready || !p.may_send(&self.set, s, now) || room < 1.0 {
@@ -822,6 +873,9 @@
             return;
         }
         let now = self.now;
+        if !self.names.is_empty() && now >= self.totals.at + TOTALS_US {
+            self.totals = self.sum_up();
+        }
         let class = self.set.classes.iter().position(|c| c.name == r.class);
         let plan = self.set.plans.iter().position(|p| p.name == r.plan);
         let never = Action::Refuse { request: r.id, retry_after_us: self.set.max_retry_after_us };
@@ -934,7 +988,7 @@
         let again = self.retry_tokens >= 1.0 && (p.attempts.len() as u32) + 1 < self.set.max_attempts;
         let may = match self.set.classes[p.class].effect {
             Effect::Repeatable => true,
-            Effect::Keyed { .. } => self.ready().count() > 1,
+            Effect::Keyed { .. } => self.ready().nth(1).is_some(),
             Effect::Once => false,
         };
         (again && may && l.mean > 0.0 && bound as f64 + usual + MARGIN_US as f64 <= left as f64)
@@ -1068,6 +1122,8 @@
             customers: BTreeMap::new(),
             counting: BTreeMap::new(),
             servers: BTreeMap::new(),
+            names: Vec::new(),
+            totals: Totals::default(),
             send_rate: Decayed::default(),
             requests: BTreeMap::new(),
             waiting: BTreeSet::new(),
--- /dev/null
+++ b/crates/turndeck/tests/many.rs
@@ -0,0 +1,94 @@
+//! Fleets that are too large to look at every server for every request.
+
+mod common;
+use common::*;
+use std::collections::BTreeMap;
+use turndeck::*;
+
+const MANY: usize = 2_000;
+
+/// Sends one request after another, each answered at once, and counts where they went.
+fn spread(rig: &mut Rig, requests: usize) -> BTreeMap<ServerId, usize> {
+    let mut counts = BTreeMap::new();
+    for _ in 0..requests {
+        rig.now += 1_000;
+        let (id, actions) = rig.request("c");
+        let server = sent(&actions).expect("sent");
+        *counts.entry(server.clone()).or_default() += 1;
+        rig.outcome(id, 0, &server, Status::Served, 10_000);
+    }
+    counts
+}
+
+#[test]
+fn requests_spread_over_all_of_them() {
+    let mut rig = Rig::with_servers(wide(), MANY);
+    let counts = spread(&mut rig, 5 * MANY);
+    // By chance alone 1 in 150 gets none of five on average, and none gets many.
+    assert!(counts.len() > MANY * 97 / 100, "{}", counts.len());
+    assert!(counts.values().max() < Some(&20), "{:?}", counts.values().max());
+}
+
+/// The choice is for the least held, also where only some are looked at.
+#[test]
+fn busy_servers_are_left_alone() {
+    let mut rig = Rig::with_servers(wide(), MANY);
+    let mut busy = std::collections::BTreeSet::new();
+    // Half of them hold one request each, unanswered.
+    while busy.len() < MANY / 2 {
+        let (_, actions) = rig.request("c");
+        busy.insert(sent(&actions).expect("sent"));
+    }
+    let counts = spread(&mut rig, MANY);
+    let to_busy: usize = counts.iter().filter(|(s, _)| busy.contains(s)).map(|(_, n)| n).sum();
+    assert!(to_busy < MANY / 20, "{to_busy}");
+}
+
+#[test]
+fn nothing_goes_to_those_that_drain_however_many_they_are() {
+    let mut rig = Rig::with_servers(wide(), MANY);
+    let draining = |n: usize| !n.is_multiple_of(20);
+    let entries = (0..MANY)
+        .filter(|&n| draining(n))
+        .map(|n| ServerEntry { health: Health::Draining, ..ServerEntry::ready(&format!("s{n}"), "a") });
+    rig.list(ListKind::Partial, entries.collect());
+    for server in spread(&mut rig, 1_000).keys() {
+        let n: usize = server.0[1..].parse().expect("a number");
+        assert!(!draining(n), "{n}");
+    }
+}
+
+/// Guards against a rare group that none of those looked at belongs to: the repeat goes there all the same.
+#[test]
+fn a_repeat_finds_the_one_other_server_that_drops_it() {
+    let mut settings = wide();
+    settings.classes[0].effect = Effect::Keyed { scope: Scope::Cell, window_us: 1_000_000 };
+    let mut rig = Rig::new(settings);
+    let entries =
+        (0..MANY).map(|n| ServerEntry { cell: n as u64 / 2, ..ServerEntry::ready(&format!("s{n}"), "a") });
+    rig.list(ListKind::Complete, entries.collect());
+    for _ in 0..5 {
+        let (id, actions) = rig.request("c");
+        let first = sent(&actions).expect("sent");
+        let second = sent(&rig.outcome(id, 0, &first, Status::ConnectionLost, 1_000)).expect("sent again");
+        let cell = |s: &ServerId| s.0[1..].parse::<u64>().expect("a number") / 2;
+        assert_eq!(cell(&first), cell(&second));
+        assert_ne!(first, second, "the other one of the cell is tried first");
+        rig.outcome(id, 1, &second, Status::Served, 1_000);
+    }
+}
+
+/// A cold one among many is spared as among few.
+#[test]
+fn a_cold_server_among_many_gets_no_more_than_its_part() {
+    let mut settings = wide();
+    (settings.gateways, settings.cold.from) = (2, 0.25);
+    let mut rig = Rig::with_servers(settings, MANY);
+    let mut cold = ServerEntry::ready("cold", "a");
+    cold.started_us = rig.now;
+    rig.list(ListKind::Partial, vec![cold]);
+    let counts = spread(&mut rig, 3_000);
+    let to_cold = counts.get(&ServerId("cold".into())).copied().unwrap_or(0);
+    // Three seconds and 30 s of work: a warm one gets one or two.
+    assert!(to_cold <= 4, "{to_cold}");
+}
