--- /dev/null
+++ b/crates/console/src/driver.rs
@@ -0,0 +1,134 @@
+//! The sockets of the operators' door.
+
+use crate::call::{Call, Wrong};
+use crate::figures::Figures;
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::body::Incoming;
+use hyper::header::{ALLOW, CONTENT_TYPE};
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper::{Request, Response, StatusCode};
+use hyper_util::rt::{TokioIo, TokioTimer};
+use std::cell::{Cell, RefCell};
+use std::collections::BTreeMap;
+use std::convert::Infallible;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::Notify;
+use tokio::task::{spawn_local, yield_now};
+use tokio::time::{sleep, timeout};
+
+/// Connections held at most; beyond that the one that has waited longest for its call makes room.
+pub const PLACES: usize = 32;
+/// A call is whole and answered within this, or its connection ends: longer than patient callers hold one.
+const ENDS_WITHIN: Duration = Duration::from_secs(6);
+/// A head is no longer than this (hyper's least).
+const HEAD_BYTES: usize = 8 << 10;
+
+/// Who does what the calls ask for.
+pub trait Desk {
+    fn ready(&self) -> bool;
+    fn figures(&self) -> Figures;
+    /// Whether such a server is known; it counts as draining from then on.
+    fn disable(&self, id: &str) -> bool;
+    /// Whether such a server is known.
+    fn enable(&self, id: &str) -> bool;
+    fn drain(&self);
+    fn undrain(&self);
+}
+
+/// Answers calls for good.
+pub async fn listen(listener: TcpListener, desk: Rc<dyn Desk>) {
+    // By number: those that have not brought their call yet are ended by their notice.
+    let waiting: Rc<RefCell<BTreeMap<u64, Rc<Notify>>>> = Rc::default();
+    let open = Rc::new(Cell::new(0));
+    for number in 0.. {
+        while open.get() >= PLACES {
+            let longest = waiting.borrow_mut().pop_first();
+            match longest {
+                Some((_, end)) => {
+                    end.notify_one();
+                    yield_now().await;
+                }
+                // All of them are being answered.
+                None => sleep(Duration::from_millis(2)).await,
+            }
+        }
+        let Ok((stream, _)) = listener.accept().await else {
+            sleep(Duration::from_millis(5)).await;
+            continue;
+        };
+        let end = Rc::new(Notify::new());
+        waiting.borrow_mut().insert(number, end.clone());
+        open.set(open.get() + 1);
+        let (desk, waiting, open) = (desk.clone(), waiting.clone(), open.clone());
+        spawn_local(async move {
+            let answered = Rc::new(Cell::new(false));
+            let one = one_call(stream, desk, || drop(waiting.borrow_mut().remove(&number)), answered);
+            tokio::select! {
+                _ = timeout(ENDS_WITHIN, one) => {}
+                () = end.notified() => {}
+            }
+            waiting.borrow_mut().remove(&number);
+            open.set(open.get() - 1);
+        });
+    }
+}
+
+/// One call, and the end of its connection.
+async fn one_call(stream: TcpStream, desk: Rc<dyn Desk>, came: impl Fn(), answered: Rc<Cell<bool>>) {
+    let _ = stream.set_nodelay(true);
+    let serve = service_fn(|request: Request<Incoming>| {
+        came();
+        // Never a second call, whatever the client pipelines.
+        let answer = match answered.replace(true) {
+            true => answer(StatusCode::BAD_REQUEST, "one call a connection\n"),
+            false => answered_by(&*desk, &request),
+        };
+        async move { Ok::<_, Infallible>(answer) }
+    });
+    let mut http = http1::Builder::new();
+    http.keep_alive(false).max_buf_size(HEAD_BYTES).timer(TokioTimer::new()).header_read_timeout(ENDS_WITHIN);
+    // What the peer does wrong costs its own connection only.
+    let _ = http.serve_connection(TokioIo::new(stream), serve).await;
+}
+
+fn answered_by(desk: &dyn Desk, request: &Request<Incoming>) -> Response<Full<Bytes>> {
+    let call = Call::read(request.method().as_str(), request.uri().path(), request.uri().query());
+    let known = |known: bool| match known {
+        true => answer(StatusCode::OK, "done\n"),
+        false => answer(StatusCode::NOT_FOUND, "no such server is listed\n"),
+    };
+    match call {
+        Ok(Call::Ready) if desk.ready() => answer(StatusCode::OK, "ready\n"),
+        Ok(Call::Ready) => answer(StatusCode::SERVICE_UNAVAILABLE, "not ready\n"),
+        Ok(Call::Metrics) => answer(StatusCode::OK, desk.figures().text()),
+        Ok(Call::Disable(id)) => known(desk.disable(&id)),
+        Ok(Call::Enable(id)) => known(desk.enable(&id)),
+        Ok(Call::Drain) => {
+            desk.drain();
+            answer(StatusCode::OK, "draining\n")
+        }
+        Ok(Call::Undrain) => {
+            desk.undrain();
+            answer(StatusCode::OK, "back to work\n")
+        }
+        Err(Wrong::Path) => answer(StatusCode::NOT_FOUND, "no such call\n"),
+        Err(Wrong::Method(right)) => {
+            let mut answer = answer(StatusCode::METHOD_NOT_ALLOWED, "another method\n");
+            answer.headers_mut().insert(ALLOW, hyper::header::HeaderValue::from_static(right));
+            answer
+        }
+        Err(Wrong::Id) => answer(StatusCode::BAD_REQUEST, "name one server, as ?id=s-1\n"),
+    }
+}
+
+fn answer(status: StatusCode, text: impl Into<Bytes>) -> Response<Full<Bytes>> {
+    let mut answer = Response::new(Full::new(text.into()));
+    *answer.status_mut() = status;
+    let plain = hyper::header::HeaderValue::from_static("text/plain; charset=utf-8");
+    answer.headers_mut().insert(CONTENT_TYPE, plain);
+    answer
+}
--- /dev/null
+++ b/crates/console/src/lib.rs
@@ -0,0 +1,11 @@
+//! The operators' door: an address of its own, on which staff take servers out, empty the gateway and read its figures.
+//! [`Call`] is what they may ask and knows no socket; [`listen`] is the thin part that does.
+#![forbid(unsafe_code)]
+
+mod call;
+mod driver;
+mod figures;
+
+pub use call::{Call, Wrong};
+pub use driver::{listen, Desk, PLACES};
+pub use figures::{Class, Figures};
--- a/crates/engine/src/engine.rs
+++ b/crates/engine/src/engine.rs
@@ -3,6 +3,7 @@
 
 use crate::clock::Clock;
 use crate::ports::*;
+use crate::tally::{self, Tally};
 use crate::timers::{Due, Timers};
 use std::cell::{Cell, RefCell};
 use std::collections::hash_map::Entry;
@@ -23,6 +24,7 @@
 const LIST_WAIT: Duration = Duration::from_secs(1);
 
 struct Held {
+    class: usize,
     answer: Option<oneshot::Sender<Answer>>,
     answer_by: Instant,
     payload: Box<dyn Payload>,
@@ -52,6 +54,7 @@
     fleets: Vec<Rc<dyn Fleet>>,
     counter: mpsc::Sender<Call>,
     ledger: Option<Rc<dyn Ledger>>,
+    tally: Rc<Tally>,
     sooner: Notify,
     clock: Rc<Clock>,
     listed: Cell<bool>,
@@ -67,6 +70,7 @@
         fleets: Vec<Rc<dyn Fleet>>,
         counter: mpsc::Sender<Call>,
         ledger: Option<Rc<dyn Ledger>>,
+        tally: Rc<Tally>,
         clock: Rc<Clock>,
     ) -> Self {
         Engine {
@@ -80,6 +84,7 @@
             fleets,
             counter,
             ledger,
+            tally,
             sooner: Notify::new(),
             clock,
             listed: Cell::new(false),
@@ -92,6 +97,21 @@
         self.listed.get() || self.known.get() && self.clock.running() >= LIST_WAIT
     }
 
+    /// What has been done so far.
+    pub fn tally(&self) -> &Tally {
+        &self.tally
+    }
+
+    /// Requests taken and not yet answered.
+    pub fn open(&self) -> usize {
+        self.inner.borrow().held.values().filter(|h| h.answer.is_some()).count()
+    }
+
+    /// Ready servers that are left out by choice.
+    pub fn avoided(&self) -> usize {
+        self.inner.borrow().gateway.avoided()
+    }
+
     /// Unix time in microseconds, by a clock that only goes forward.
     pub fn now(&self) -> Micros {
         self.clock.now()
@@ -145,6 +165,7 @@
             match inner.held.entry(request.id) {
                 Entry::Occupied(_) => return Err(Duplicate),
                 Entry::Vacant(place) => place.insert(Held {
+                    class: self.tally.class(&request.class),
                     answer: Some(sender),
                     answer_by,
                     payload,
@@ -180,6 +201,7 @@
             held.timed_out = ended.status == Status::NoAnswer;
             if ended.status == Status::Served {
                 if let Some(answer) = held.answer.take() {
+                    self.tally.ended(held.class, tally::Outcome::Served);
                     let _ = answer.send(Answer::Served(ended.body));
                 }
             }
@@ -225,12 +247,12 @@
                 }
             }
             Action::Refuse { request, retry_after_us } => {
-                answer(inner, request, |_| Answer::Refused {
+                self.answer(inner, request, tally::Outcome::Refused, |_| Answer::Refused {
                     retry_after: Duration::from_micros(retry_after_us),
                 });
             }
             Action::Fail { request } => {
-                answer(inner, request, |timed_out| Answer::Failed { timed_out });
+                self.answer(inner, request, tally::Outcome::Failed, |timed_out| Answer::Failed { timed_out });
             }
             Action::SetTimer { after_us, timer } => {
                 let due = match timer {
@@ -258,6 +280,22 @@
         }
     }
 
+    /// Gives the final answer, if it has not been given.
+    fn answer(
+        &self,
+        inner: &mut Inner,
+        id: RequestId,
+        how: tally::Outcome,
+        make: impl FnOnce(bool) -> Answer,
+    ) {
+        let Some(held) = inner.held.get_mut(&id) else { return };
+        if let Some(sender) = held.answer.take() {
+            self.tally.ended(held.class, how);
+            let _ = sender.send(make(held.timed_out));
+        }
+        forget(inner, id);
+    }
+
     fn send(self: &Rc<Self>, inner: &mut Inner, id: RequestId, server: ServerId, timeout_us: Micros) {
         let Some(held) = inner.held.get_mut(&id).filter(|h| h.answer.is_some()) else { return };
         let (engine, attempt, since) = (self.clone(), held.attempts.len(), Instant::now());
@@ -301,10 +339,11 @@
     /// Guards against a request that nobody has answered: its client hears before it leaves.
     fn backstop(self: &Rc<Self>, id: RequestId) {
         let sender = match self.inner.borrow_mut().held.get_mut(&id) {
-            Some(held) if held.answer_by <= Instant::now() => held.answer.take(),
+            Some(held) if held.answer_by <= Instant::now() => held.answer.take().map(|a| (a, held.class)),
             _ => None,
         };
-        if let Some(sender) = sender {
+        if let Some((sender, class)) = sender {
+            self.tally.ended(class, tally::Outcome::Failed);
             let _ = sender.send(Answer::Failed { timed_out: true });
             self.feed(Event::ClientGone(id));
             forget(&mut self.inner.borrow_mut(), id);
@@ -312,15 +351,6 @@
     }
 }
 
-/// Gives the final answer, if it has not been given.
-fn answer(inner: &mut Inner, id: RequestId, make: impl FnOnce(bool) -> Answer) {
-    let Some(held) = inner.held.get_mut(&id) else { return };
-    if let Some(sender) = held.answer.take() {
-        let _ = sender.send(make(held.timed_out));
-    }
-    forget(inner, id);
-}
-
 /// Drops a request that is answered once none of its attempts is out.
 fn forget(inner: &mut Inner, id: RequestId) {
     let over = |h: &Held| h.answer.is_none() && h.attempts.iter().all(Option::is_none);
--- a/crates/engine/src/lib.rs
+++ b/crates/engine/src/lib.rs
@@ -6,8 +6,10 @@
 mod clock;
 mod engine;
 pub mod ports;
+mod tally;
 mod timers;
 
 pub use clock::Clock;
 pub use engine::Engine;
 pub use ports::*;
+pub use tally::{ClassTally, Outcome, Tally};
--- /dev/null
+++ b/crates/engine/src/tally.rs
@@ -0,0 +1,54 @@
+//! What has been done so far, by class: counted where it happens, read by whoever shows it.
+
+use std::cell::Cell;
+
+#[derive(Default)]
+pub struct ClassTally {
+    pub name: String,
+    pub served: Cell<u64>,
+    pub refused: Cell<u64>,
+    pub failed: Cell<u64>,
+    /// Attempts written whole to servers.
+    pub attempts: Cell<u64>,
+}
+
+/// How a request ended.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Outcome {
+    Served,
+    Refused,
+    Failed,
+}
+
+#[derive(Default)]
+pub struct Tally {
+    pub classes: Vec<ClassTally>,
+}
+
+impl Tally {
+    pub fn new(classes: impl IntoIterator<Item = String>) -> Self {
+        let class = |name| ClassTally { name, ..ClassTally::default() };
+        Tally { classes: classes.into_iter().map(class).collect() }
+    }
+
+    /// Classes are few, and fixed by the settings.
+    pub fn class(&self, name: &str) -> usize {
+        self.classes.iter().position(|c| c.name == name).unwrap_or(0)
+    }
+
+    pub fn ended(&self, class: usize, how: Outcome) {
+        let Some(c) = self.classes.get(class) else { return };
+        let count = match how {
+            Outcome::Served => &c.served,
+            Outcome::Refused => &c.refused,
+            Outcome::Failed => &c.failed,
+        };
+        count.set(count.get() + 1);
+    }
+
+    pub fn attempted(&self, class: usize) {
+        if let Some(c) = self.classes.get(class) {
+            c.attempts.set(c.attempts.get() + 1);
+        }
+    }
+}
--- /dev/null
+++ b/crates/frosthatch/src/console.rs
@@ -0,0 +1,57 @@
+//! What operators' calls do, and the figures that they are shown.
+
+use frosthatch_console::{Class, Desk, Figures};
+use frosthatch_engine::Engine;
+use frosthatch_http1::front::Door;
+use frosthatch_membership as membership;
+use std::cell::Cell;
+use std::rc::Rc;
+
+pub struct Console {
+    pub engine: Rc<Engine>,
+    pub door: Rc<Door>,
+    pub servers: Rc<membership::Desk>,
+    /// New configurations that were taken over, and that were not.
+    pub reloads: Rc<[Cell<u64>; 2]>,
+}
+
+impl Desk for Console {
+    fn ready(&self) -> bool {
+        self.door.ready()
+    }
+
+    fn figures(&self) -> Figures {
+        let classes = self.engine.tally().classes.iter().map(|c| Class {
+            name: c.name.clone(),
+            success: c.served.get(),
+            busy: c.refused.get(),
+            failure: c.failed.get(),
+            backend_calls: c.attempts.get(),
+        });
+        let (hosts_listed, not_ready) = self.servers.listed();
+        Figures {
+            classes: classes.collect(),
+            inflight: self.engine.open(),
+            hosts_listed,
+            hosts_down: not_ready + self.engine.avoided(),
+            reconfig_ok: self.reloads[0].get(),
+            reconfig_failed: self.reloads[1].get(),
+        }
+    }
+
+    fn disable(&self, id: &str) -> bool {
+        self.servers.take_out(id)
+    }
+
+    fn enable(&self, id: &str) -> bool {
+        self.servers.put_back(id)
+    }
+
+    fn drain(&self) {
+        self.door.empty();
+    }
+
+    fn undrain(&self) {
+        self.door.fill();
+    }
+}
--- a/crates/frosthatch/src/node.rs
+++ b/crates/frosthatch/src/node.rs
@@ -23,6 +23,8 @@
     pub listen: SocketAddr,
     pub discovery: SocketAddr,
     pub counter: Option<SocketAddr>,
+    /// Where operators' calls come, if the platform has a place for them.
+    pub console: Option<SocketAddr>,
     pub seed: u64,
     /// Descriptors that the process may hold.
     pub sockets: usize,
@@ -192,6 +194,18 @@
             None | Some(Value::Null) => None,
             Some(_) => r.field(&file, "/counter", AN_ADDRESS, address),
         };
+        let from_env = std::env::var("NODE_CONSOLE").ok().map(Value::from);
+        let console = match file.get("console").or(from_env.as_ref()) {
+            None | Some(Value::Null) => None,
+            Some(written) => {
+                let read = address(written);
+                if read.is_none() {
+                    let what = format!("configuration is malformed: {}", shortened(written));
+                    r.wrong("console", what, AN_ADDRESS);
+                }
+                read
+            }
+        };
         let hex = |v: &Value| v.as_str().and_then(|s| u64::from_str_radix(s, 16).ok());
         let seed = r.field(&file, "/seed", "write 16 hex digits", hex);
         let at_least = |least: u64| move |v: &Value| v.as_u64().filter(|&n| n >= least);
@@ -232,6 +246,7 @@
                     listen,
                     discovery,
                     counter,
+                    console,
                     seed,
                     sockets: sockets as usize,
                     memory_mb: memory_mb as usize,
--- a/crates/frosthatch/src/serve.rs
+++ b/crates/frosthatch/src/serve.rs
@@ -1,16 +1,19 @@
 //! The gateway itself: its parts are made, joined and, by signals, moved and ended.
 
+use crate::console::Console;
 use crate::node::Config;
 use crate::operator::{self, Operator, Peers};
 use crate::{diameter, joined};
+use frosthatch_console as console;
 use frosthatch_counter as counter;
-use frosthatch_engine::{Clock, Engine, Fleet, Ledger, Rules};
+use frosthatch_engine::{Clock, Engine, Fleet, Ledger, Rules, Tally};
 use frosthatch_http1::backend::{self, Limits, Upstream};
 use frosthatch_http1::front::Door;
 use frosthatch_http1::{BODY_BYTES, HEAD_BYTES};
 use frosthatch_membership::{self as membership, Source};
 use frosthatch_peers::{driver::Peers as Told, talk};
 use frosthatch_plugins::host::{self as plugins, Plugins};
+use std::cell::Cell;
 use std::path::Path;
 use std::rc::Rc;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
@@ -96,6 +99,7 @@
     // Membership by DNS-SD may ask for many things at once.
     let other_sockets = OTHER_SOCKETS
         + operator.dns_sd.as_ref().map_or(0, |p| p.sockets())
+        + config.console.map_or(0, |_| console::PLACES + 1)
         + operator.diameter.as_ref().map_or(0, |d| diameter::most_clients(d, &config) + 1);
     // Clients hold a third of the descriptors at most for requests, and each has one attempt out: the rest is for
     // connections that are kept, and for clients that are none of ours.
@@ -104,13 +108,15 @@
     let for_clients = if operator.diameter.is_some() { memory / diameter::HTTP_PART } else { memory * 3 / 4 };
     let in_memory = for_clients / CLIENT_BYTES;
     let clients = config.sockets.saturating_sub(to_servers + other_sockets).min(in_memory);
-    let upstream = Rc::new(Upstream::new(Limits {
+    let tally = Rc::new(Tally::new(config.settings.classes.iter().map(|c| c.name.clone())));
+    let limits = Limits {
         connect_timeout: config.connect_timeout,
         idle: config.server_idle / 3,
         connections: to_servers,
         // Beside what clients' connections may hold, with some to spare.
         long_answers: config.memory_mb / 8 * 1_048_576,
-    }));
+    };
+    let upstream = Rc::new(Upstream::new(limits, tally.clone()));
     let (calls, called) = mpsc::channel(counter::MOST_OUT);
     let mut fleets: Vec<Rc<dyn Fleet>> = vec![upstream.clone()];
     let clock = Rc::new(Clock::default());
@@ -122,7 +128,7 @@
     }
     let config = Rc::new(config);
     let ledger = told.as_ref().map(|(told, _)| told.clone() as Rc<dyn Ledger>);
-    let engine = Rc::new(Engine::new(gateway, fleets, calls, ledger, clock.clone()));
+    let engine = Rc::new(Engine::new(gateway, fleets, calls, ledger, tally, clock.clone()));
     let listener = TcpListener::bind(config.listen).await.map_err(|e| format!("cannot listen: {e}"))?;
     let address = listener.local_addr().map_err(|e| format!("cannot listen: {e}"))?;
     let mut diameter = match half {
@@ -137,7 +143,8 @@
         spawn_local(told.run(socket, p.gateways.clone(), p.tick, engine.clone()));
     }
     spawn_local(backend::sweep(upstream.clone()));
-    spawn_local(membership::run(sources, config.known.targets.clone(), config.seed, engine.clone()));
+    let servers = membership::Desk::new(engine.clone());
+    spawn_local(membership::run(sources, config.known.targets.clone(), config.seed, servers.clone()));
     spawn_local(counter::run(counters, config.counter_timeout, called, engine.clone()));
     let longest = config.settings.classes.iter().map(|c| c.deadline_us).max().unwrap_or(0);
     // Compiled on threads of their own; nothing of them is there where no plug-in is named.
@@ -151,8 +158,21 @@
     if let Some(rules) = &rules {
         spawn_local(rules.clone().tick());
     }
-    let door = Door::new(engine, upstream, config.settings.clone(), gate, clients);
+    let reloads: Rc<[Cell<u64>; 2]> = Rc::default();
+    let door = Door::new(engine.clone(), upstream, config.settings.clone(), gate, clients);
     spawn_local(door.clone().accept(listener));
+    if let Some(at) = config.console {
+        let listener =
+            TcpListener::bind(at).await.map_err(|e| format!("console: cannot listen on {at}: {e}"))?;
+        let at = listener.local_addr().map_err(|e| format!("console: {e}"))?;
+        eprintln!("console on {at}");
+        let desk = Console { engine, door: door.clone(), servers, reloads: reloads.clone() };
+        spawn_local(console::listen(listener, Rc::new(desk)));
+    }
+    let reloaded = |well: bool| {
+        let count = &reloads[usize::from(!well)];
+        count.set(count.get() + 1);
+    };
 
     let peers_then = operator.peers;
     loop {
@@ -168,6 +188,7 @@
                         (None, None) => Ok(()),
                         _ => Err("diameter: turning it on or off wants a restart".into()),
                     };
+                    reloaded(moved.is_ok());
                     match moved {
                         Ok(()) => {
                             reload_plugins(rules.as_ref(), operator.plugins.clone()).await;
@@ -178,6 +199,7 @@
                     }
                 }
                 (config, operator) => {
+                    reloaded(false);
                     let mut bad = config.err().unwrap_or_default();
                     bad.extend(operator.err().unwrap_or_default());
                     eprintln!("{}; the old one stays", joined(&bad));
--- /dev/null
+++ b/crates/frosthatch/tests/console.rs
@@ -0,0 +1,184 @@
+//! Operators' calls to the real binary.
+
+mod common;
+use common::*;
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpStream};
+use std::sync::mpsc::channel;
+use std::thread::sleep;
+use std::time::{Duration, Instant};
+
+struct Site {
+    gateway: Gateway,
+    console: SocketAddr,
+}
+
+impl Site {
+    fn new(discovery: &Discovery) -> Site {
+        let text = config_text(discovery.address, None, 1, "");
+        let text = text.replacen('{', "{\"console\":\"127.0.0.1:0\",", 1);
+        let (tell, told) = channel();
+        let gateway = Gateway::start_with_log(&text, &[], move |line| drop(tell.send(line.to_string())));
+        let console = loop {
+            let line = told.recv_timeout(LONG).expect("the console's address");
+            if let Some(at) = line.strip_prefix("console on ") {
+                break at.parse().expect("an address");
+            }
+        };
+        gateway.wait_ready();
+        Site { gateway, console }
+    }
+
+    fn connect(&self) -> TcpStream {
+        let stream = TcpStream::connect(self.console).expect("the console accepts");
+        stream.set_read_timeout(Some(LONG)).expect("a time-out");
+        stream
+    }
+
+    /// Status and text of an answer, read to the end of its connection.
+    fn call(&self, method: &str, path: &str) -> (u16, String) {
+        let mut stream = self.connect();
+        write!(stream, "{method} {path} HTTP/1.1\r\nHost: c\r\n\r\n").expect("written");
+        let mut text = String::new();
+        stream.read_to_string(&mut text).expect("an answer and an end");
+        let status = text.split(' ').nth(1).and_then(|s| s.parse().ok()).expect("a status");
+        (status, text.split_once("\r\n\r\n").map_or(String::new(), |(_, body)| body.into()))
+    }
+
+    fn post(&self, path: &str) -> u16 {
+        self.call("POST", path).0
+    }
+
+    fn figure(&self, name: &str) -> u64 {
+        let (status, text) = self.call("GET", "/metrics");
+        assert_eq!(status, 200);
+        let line = text.lines().find_map(|l| l.strip_prefix("svc.")?.strip_prefix(name)?.strip_prefix(':'));
+        let line = line.unwrap_or_else(|| panic!("no {name} in {text}"));
+        line.split('|').next().and_then(|v| v.parse().ok()).expect("a number")
+    }
+}
+
+fn two(a: &Server, b: &Server) -> String {
+    [target("a", a.address, 0, "Ready"), target("b", b.address, 0, "Ready")].join(",")
+}
+
+#[test]
+fn figures_count_what_was_done() {
+    let server = Server::new(|m| match m.line.contains("bad") {
+        true => status("500 Internal Server Error"),
+        false => ok("served"),
+    });
+    let discovery = Discovery::new(&target("a", server.address, 0, "Ready"));
+    let site = Site::new(&discovery);
+    for _ in 0..5 {
+        assert_eq!(site.gateway.ask(&Ask::check()).status(), 200);
+    }
+    assert_eq!(site.gateway.ask(&Ask::top_up()).status(), 200);
+    let failed = site.gateway.ask(&Ask { path: "/top-up?bad", ..Ask::top_up() });
+    assert_eq!(failed.status(), 502);
+    // The quota of `small` holds six units and hardly fills.
+    let beyond = Ask::check().with("X-Tier", "small").with("X-Call-Terms", "units=6,spread=1,first=0");
+    let again = |n: u32| beyond.clone().with("X-Trace-Id", &format!("{n:016x}"));
+    let refused = (1..4).filter(|&n| site.gateway.ask(&again(n)).status() == 429).count() as u64;
+    assert!(refused > 0);
+    assert_eq!(site.figure("success.balance-check"), 5 + (3 - refused));
+    assert_eq!(site.figure("success.top-up"), 1);
+    assert_eq!(site.figure("busy.balance-check"), refused);
+    assert_eq!(site.figure("failure.top-up"), 1);
+    let attempts = server.requests_so_far() as u64;
+    assert_eq!(site.figure("backend_calls.balance-check") + site.figure("backend_calls.top-up"), attempts);
+    assert_eq!((site.figure("inflight"), site.figure("hosts_listed")), (0, 1));
+    let (status, _) = site.call("GET", "/nowhere");
+    assert_eq!((status, site.post("/ready")), (404, 405));
+}
+
+#[test]
+fn requests_that_are_held_are_in_flight() {
+    let server = Server::new(|_| Reply::Silence);
+    let discovery = Discovery::new(&target("a", server.address, 0, "Ready"));
+    let site = Site::new(&discovery);
+    let mut held = site.gateway.client();
+    held.send(&Ask::check().text());
+    server.request();
+    assert_eq!((site.figure("inflight"), site.figure("backend_calls.balance-check")), (1, 1));
+}
+
+/// Guards against discovery undoing what an operator did, and against two calls out that want two back.
+#[test]
+fn a_server_taken_out_gets_nothing_until_it_is_put_back() {
+    let (a, b) = (Server::new(|_| ok("a")), Server::new(|_| ok("b")));
+    let discovery = Discovery::new(&two(&a, &b));
+    let site = Site::new(&discovery);
+    assert_eq!(site.post("/servers/disable?id=nobody"), 404);
+    assert_eq!(site.post("/servers/disable"), 400);
+    assert_eq!(site.post("/servers/disable?id=a"), 200);
+    assert_eq!(site.post("/servers/disable?id=a"), 200);
+    assert_eq!((site.figure("hosts_listed"), site.figure("hosts_down")), (2, 1));
+    discovery.tell(true, &two(&a, &b));
+    discovery.tell(false, &target("a", a.address, 0, "Ready"));
+    for _ in 0..20 {
+        assert_eq!(site.gateway.ask(&Ask::check()).body, "b");
+    }
+    assert_eq!(a.requests_so_far(), 0);
+    assert_eq!(site.post("/servers/enable?id=a"), 200);
+    assert_eq!(site.figure("hosts_down"), 0);
+    let since = Instant::now();
+    while site.gateway.ask(&Ask::check()).body != "a" {
+        assert!(since.elapsed() < LONG, "it is used again");
+    }
+}
+
+/// Guards against a request that comes while clients are sent away, and against connections that stay.
+#[test]
+fn an_emptied_gateway_serves_what_comes_lets_go_of_connections_and_comes_back() {
+    let server = Server::new(|_| ok("served"));
+    let discovery = Discovery::new(&target("a", server.address, 0, "Ready"));
+    let mut site = Site::new(&discovery);
+    let (mut idle, mut busy) = (site.gateway.client(), site.gateway.client());
+    for client in [&mut idle, &mut busy] {
+        assert_eq!(client.ask(&Ask::check().text()).expect("an answer").status(), 200);
+    }
+    assert_eq!((site.call("GET", "/ready").0, site.post("/drain")), (200, 200));
+    assert_eq!(site.call("GET", "/ready").0, 503);
+    assert!(!site.gateway.ready());
+    let answer = site.gateway.client().ask(&Ask::check().text()).expect("a new client is served");
+    assert_eq!((answer.status(), answer.header("connection")), (200, Some("close")));
+    let answer = busy.ask(&Ask::check().text()).expect("a kept one too");
+    assert_eq!((answer.status(), answer.header("connection")), (200, Some("close")));
+    assert!(idle.answer().is_none(), "what stays idle is closed");
+    // Twice is as once.
+    assert_eq!((site.post("/drain"), site.post("/undrain")), (200, 200));
+    assert_eq!(site.call("GET", "/ready").0, 200);
+    let answer = site.gateway.client().ask(&Ask::check().text()).expect("an answer");
+    assert_eq!(answer.header("connection"), None);
+    sleep(Duration::from_millis(10));
+    assert!(site.gateway.runs());
+}
+
+/// Guards against callers that take all places and say nothing, or half of a call, or one after another.
+#[test]
+fn callers_that_hold_connections_keep_nobody_out() {
+    let server = Server::new(|_| ok("served"));
+    let discovery = Discovery::new(&target("a", server.address, 0, "Ready"));
+    let mut site = Site::new(&discovery);
+    let mut holders: Vec<TcpStream> = (0..80).map(|_| site.connect()).collect();
+    for (n, holder) in holders.iter_mut().enumerate() {
+        // Those that had to make room are closed already.
+        let _ = holder.write_all(if n % 2 == 0 { b"GET /rea" } else { b"" });
+    }
+    assert_eq!(site.call("GET", "/ready").0, 200);
+    let mut stream = site.connect();
+    let twice = "GET /ready HTTP/1.1\r\nHost: c\r\n\r\nPOST /drain HTTP/1.1\r\nHost: c\r\n\r\n";
+    stream.write_all(twice.as_bytes()).expect("written");
+    let mut text = String::new();
+    // What nobody read may reset the connection behind the answer.
+    let _ = stream.read_to_string(&mut text);
+    assert_eq!(text.matches("HTTP/1.1 200").count(), 1, "{text}");
+    assert_eq!(site.call("GET", "/ready").0, 200);
+    for nonsense in ["\r\n\r\n", "GET\r\n\r\n", "GET /ready HTTP/9\r\n\r\n", &"x".repeat(1 << 16)] {
+        let mut stream = site.connect();
+        let _ = stream.write_all(nonsense.as_bytes());
+        let _ = stream.read(&mut [0; 64]);
+    }
+    assert!(site.gateway.runs());
+}
--- a/crates/http1/src/backend.rs
+++ b/crates/http1/src/backend.rs
@@ -3,7 +3,7 @@
 
 use crate::conn::{Answer, Conn, Room};
 use crate::staleness::Staleness;
-use frosthatch_engine::{Attempt, Ended, Fleet, Member, Payload, Protocol, State};
+use frosthatch_engine::{Attempt, Ended, Fleet, Member, Payload, Protocol, State, Tally};
 use std::cell::{Cell, RefCell};
 use std::collections::{HashMap, HashSet};
 use std::io;
@@ -25,6 +25,8 @@
     /// Its line and its headers, each with its end, but for the time that is left.
     pub head: Vec<u8>,
     pub body: Vec<u8>,
+    /// Of its class, by number.
+    pub class: usize,
 }
 
 impl Forward {
@@ -44,7 +46,9 @@
 impl Payload for Outgoing {
     fn attempt(&self, server: &ServerId, deadline: Instant) -> Attempt {
         let (upstream, forward, server) = (self.upstream.clone(), self.forward.clone(), server.clone());
-        Box::pin(async move { upstream.attempt(&server, |left| forward.request(left), deadline).await })
+        Box::pin(async move {
+            upstream.attempt(&server, forward.class, |left| forward.request(left), deadline).await
+        })
     }
 }
 
@@ -94,16 +98,17 @@
     /// Who stands at an address: more than one for as long as news that the older ones are gone has not come.
     at: RefCell<HashMap<SocketAddr, Vec<ServerId>>>,
     open: Rc<Cell<usize>>,
+    tally: Rc<Tally>,
     staleness: RefCell<Staleness>,
     /// What is left of the memory for long answers.
     room: Arc<AtomicUsize>,
 }
 
 impl Upstream {
-    pub fn new(limits: Limits) -> Self {
+    pub fn new(limits: Limits, tally: Rc<Tally>) -> Self {
         let room = Arc::new(AtomicUsize::new(limits.long_answers));
         let (servers, at, open, staleness) = Default::default();
-        Upstream { limits, servers, at, open, staleness, room }
+        Upstream { limits, servers, at, open, tally, staleness, room }
     }
 
     /// Where new requests for a server may go, and what tells that it is gone; none if it drains or is gone.
@@ -158,6 +163,7 @@
     pub async fn attempt(
         &self,
         server: &ServerId,
+        class: usize,
         build: impl FnOnce(Duration) -> Vec<u8>,
         deadline: Instant,
     ) -> Ended {
@@ -174,7 +180,7 @@
         let begun = Instant::now();
         let room = Room::new(ANSWER_BYTES, self.room.clone());
         let answer = tokio::select! {
-            answer = timeout_at(deadline, conn.ask(&request, room, &written)) => answer,
+            answer = timeout_at(deadline, conn.ask(&request, room, &written, || self.tally.attempted(class))) => answer,
             () = gone.notified() => Ok(Err(io::ErrorKind::ConnectionAborted.into())),
         };
         if let Some(idle) = idle {
--- a/crates/http1/src/conn.rs
+++ b/crates/http1/src/conn.rs
@@ -104,9 +104,17 @@
         peek(&self.stream).is_err_and(|e| e.kind() == io::ErrorKind::WouldBlock)
     }
 
-    /// Sends a request and reads its answer, if there is room for it. `written` tells what has left.
-    pub async fn ask(&self, request: &[u8], mut room: Room, written: &Cell<usize>) -> io::Result<Answer> {
+    /// Sends a request and reads its answer, if there is room for it. `written` tells what has left, `whole` is
+    /// called once that is all.
+    pub async fn ask(
+        &self,
+        request: &[u8],
+        mut room: Room,
+        written: &Cell<usize>,
+        whole: impl FnOnce(),
+    ) -> io::Result<Answer> {
         write_all(&self.stream, request, written).await?;
+        whole();
         let mut buffer = Vec::new();
         let (mut answer, framing) = self.head(&mut buffer).await?;
         match framing {
--- a/crates/http1/src/front.rs
+++ b/crates/http1/src/front.rs
@@ -3,7 +3,7 @@
 
 use crate::backend::{Forward, Outgoing, Upstream};
 use crate::message::*;
-use frosthatch_engine::{Answer, Arrival, Duplicate, Engine, Protocol, Ruled, Rules, Ruling};
+use frosthatch_engine::{Answer, Arrival, Duplicate, Engine, Outcome, Protocol, Ruled, Rules, Ruling};
 use httparse::{Header, Status as Parsed, EMPTY_HEADER};
 use socket2::SockRef;
 use std::cell::{Cell, RefCell};
@@ -43,6 +43,14 @@
 /// Customers' names are numbers below this.
 const CUSTOMERS: u64 = 1 << 33;
 
+/// While the gateway is emptied, new connections come for 0.2 s after it has said that it is not ready, and are served.
+const EMPTIES_AFTER: Duration = Duration::from_millis(500);
+/// Then connections that have been idle for this long are closed: few requests cross such a close...
+const EMPTIES_IDLE: Duration = Duration::from_secs(1);
+/// ...and from so long after the beginning all that are idle, but for those that have hardly come.
+const EMPTY_WITHIN: Duration = Duration::from_millis(2_500);
+const HARDLY_COME: Duration = Duration::from_millis(100);
+
 /// A connection on which no request is open.
 struct Idle {
     since: Instant,
@@ -59,6 +67,8 @@
     /// The operator's own, if there are any.
     rules: Option<Rc<dyn Rules>>,
     leaving: Cell<bool>,
+    /// Since when the gateway is emptied, if it is.
+    emptying: Cell<Option<Instant>>,
     /// By number.
     idle: RefCell<HashMap<u64, Idle>>,
     open: Cell<usize>,
@@ -84,8 +94,9 @@
         rules: Option<Rc<dyn Rules>>,
         most: usize,
     ) -> Rc<Self> {
-        let (leaving, open) = (Cell::new(false), Cell::new(0));
-        Rc::new(Door { engine, upstream, settings, rules, leaving, idle: RefCell::default(), open, most })
+        let (leaving, emptying, open) = (Cell::new(false), Cell::new(None), Cell::new(0));
+        let idle = RefCell::default();
+        Rc::new(Door { engine, upstream, settings, rules, leaving, emptying, idle, open, most })
     }
 
     /// From now on every answer closes its connection.
@@ -93,9 +104,47 @@
         self.leaving.set(true);
     }
 
+    /// Whether new clients may come.
+    pub fn ready(&self) -> bool {
+        self.engine.ready() && !self.ends_connections()
+    }
+
+    /// Every answer closes its connection.
+    fn ends_connections(&self) -> bool {
+        self.leaving.get() || self.emptying.get().is_some()
+    }
+
+    /// From now on clients are sent away: the gateway is not ready and lets go of connections, gently at first.
+    pub fn empty(self: &Rc<Self>) {
+        let since = Instant::now();
+        if self.emptying.get().is_some() {
+            return;
+        }
+        self.emptying.set(Some(since));
+        let door = self.clone();
+        tokio::task::spawn_local(async move {
+            sleep(EMPTIES_AFTER).await;
+            while door.emptying.get() == Some(since) {
+                let all = since.elapsed() >= EMPTY_WITHIN;
+                door.close_idle(if all { HARDLY_COME } else { EMPTIES_IDLE });
+                sleep(HARDLY_COME / 2).await;
+            }
+        });
+    }
+
+    /// Clients may come again.
+    pub fn fill(&self) {
+        self.emptying.set(None);
+    }
+
     /// Idle connections end now, the others after their answer.
     pub fn close(&self) {
-        self.idle.borrow().values().for_each(|i| i.end.notify_one());
+        self.close_idle(Duration::ZERO);
+    }
+
+    fn close_idle(&self, least: Duration) {
+        let now = Instant::now();
+        self.idle.borrow().values().filter(|i| now - i.since >= least).for_each(|i| i.end.notify_one());
     }
 
     pub fn open(&self) -> usize {
@@ -148,7 +197,7 @@
             client.kept = true;
             let mut added = String::new();
             let answer = match asked.ask {
-                None => Reply::Ready(self.engine.ready() && !self.leaving.get()),
+                None => Reply::Ready(self.ready()),
                 Some(ask) => match self.answer_by_rules(&mut client, *ask, &mut added).await {
                     Ok(Some(answer)) => Reply::Answer(answer),
                     // The client has gone.
@@ -156,7 +205,7 @@
                     Err(bad) => return client.turn_away(&bad).await,
                 },
             };
-            let close = asked.close || self.leaving.get();
+            let close = asked.close || self.ends_connections();
             if !client.write(&answer.text(close, &added)).await || close {
                 return;
             }
@@ -301,7 +350,8 @@
         });
         // Nobody waits past the class's deadline, whatever the header says: what is kept for a request is short-lived.
         let gone_at = received + patience.min(Duration::from_micros(class.deadline_us));
-        let forward = Forward { head: head.into(), body: Vec::new() };
+        let class = self.engine.tally().class(&class.name);
+        let forward = Forward { head: head.into(), body: Vec::new(), class };
         Ok(Head { end, length, close, ask: Some(Box::new(Ask { request, gone_at, forward, shown })) })
     }
 
@@ -331,8 +381,14 @@
         };
         let answer = match ruled {
             // Nothing has run, whatever its class.
-            Some(Ruled::Refuse { retry_after }) => Some(Answer::Refused { retry_after }),
-            Some(Ruled::Fail) => Some(Answer::Failed { timed_out: false }),
+            Some(Ruled::Refuse { retry_after }) => {
+                self.engine.tally().ended(ask.forward.class, Outcome::Refused);
+                Some(Answer::Refused { retry_after })
+            }
+            Some(Ruled::Fail) => {
+                self.engine.tally().ended(ask.forward.class, Outcome::Failed);
+                Some(Answer::Failed { timed_out: false })
+            }
             Some(Ruled::GoOn { units, lower, within, headers }) => {
                 ask.request.units = ask.request.units.max(units.unwrap_or(0.0));
                 ask.request.lower = lower;
--- a/crates/membership/src/lib.rs
+++ b/crates/membership/src/lib.rs
@@ -7,4 +7,4 @@
 mod roster;
 mod source;
 
-pub use source::{run, Source};
+pub use source::{run, Desk, Source};
--- a/crates/membership/src/list.rs
+++ b/crates/membership/src/list.rs
@@ -161,7 +161,7 @@
     };
     let request = format!("GET {path} HTTP/1.1\r\nHost: {address}\r\n\r\n");
     let room = Room::new(LIST_BYTES, Arc::new(AtomicUsize::new(2 * LIST_BYTES)));
-    let answer = open.ask(request.as_bytes(), room, &Cell::new(0)).await.map_err(CallError::Io)?;
+    let answer = open.ask(request.as_bytes(), room, &Cell::new(0), || ()).await.map_err(CallError::Io)?;
     if answer.reusable {
         *conn = Some(open);
     }
--- a/crates/membership/src/roster.rs
+++ b/crates/membership/src/roster.rs
@@ -8,9 +8,22 @@
 /// request lives.
 const LINGER_US: u64 = 10_000_000;
 
+/// Marks of operators that are kept at most: those of servers long gone make room.
+const MOST_MARKS: usize = 4_096;
+
+/// What an operator has done to a server by hand.
+#[derive(Clone, Copy, Debug, PartialEq)]
+struct Mark {
+    /// When it was taken out, in milliseconds.
+    out_ms: u64,
+    /// When it was put back; none: it is out.
+    back_ms: Option<u64>,
+}
+
 #[derive(Default)]
 pub struct Roster {
     told: HashMap<String, Member>,
+    marks: HashMap<String, Mark>,
     /// The next whole list is the first of another source.
     taking_over: bool,
     /// Not named by the new source: gone at that time.
@@ -23,11 +36,66 @@
         self.taking_over = !self.told.is_empty();
     }
 
-    /// All that is known and not gone.
+    /// All that is known and not gone, as sources tell it.
     pub fn known(&self) -> impl Iterator<Item = &Member> {
         self.told.values()
     }
 
+    /// The same as the engine hears of it.
+    pub fn heard(&self) -> impl Iterator<Item = Member> + '_ {
+        self.told.values().map(|m| self.marked(m.clone()))
+    }
+
+    /// Takes a server out until it is put back, whatever sources say of it; what to tell the engine, or none if no such
+    /// server is known.
+    pub fn take_out(&mut self, now: u64, uid: &str) -> Option<Vec<Member>> {
+        let known = self.told.contains_key(uid);
+        let out = self.marks.get(uid).is_some_and(|m| m.back_ms.is_none());
+        if !known && !out {
+            return None;
+        }
+        if !out {
+            self.forget_marks();
+            self.marks.insert(uid.into(), Mark { out_ms: now / 1_000, back_ms: None });
+        }
+        Some(self.told.get(uid).map(|m| self.marked(m.clone())).into_iter().collect())
+    }
+
+    /// Puts a server back, however often it was taken out.
+    pub fn put_back(&mut self, now: u64, uid: &str) -> Option<Vec<Member>> {
+        match self.marks.get_mut(uid).filter(|m| m.back_ms.is_none()) {
+            Some(mark) => mark.back_ms = Some(now / 1_000),
+            None if !self.told.contains_key(uid) => return None,
+            None => {}
+        }
+        Some(self.told.get(uid).map(|m| self.marked(m.clone())).into_iter().collect())
+    }
+
+    /// Bounds the marks: those that say nothing any more go first, then those of servers that nobody lists.
+    fn forget_marks(&mut self) {
+        if self.marks.len() < MOST_MARKS {
+            return;
+        }
+        let told = &self.told;
+        self.marks.retain(|uid, m| m.back_ms.is_none() || told.contains_key(uid));
+        while self.marks.len() >= MOST_MARKS {
+            let oldest = self.marks.iter().min_by_key(|(uid, m)| (told.contains_key(*uid), m.out_ms));
+            let Some(oldest) = oldest.map(|(uid, _)| uid.clone()) else { return };
+            self.marks.remove(&oldest);
+        }
+    }
+
+    /// A server as the operators' marks have it.
+    fn marked(&self, mut m: Member) -> Member {
+        match self.marks.get(&m.uid) {
+            Some(Mark { back_ms: None, .. }) if m.state == State::Ready => m.state = State::Draining,
+            // Guards against pushing over a server that was restarted while it was out, of which the list tells later.
+            Some(Mark { out_ms, back_ms: Some(back_ms) }) if m.boot_ms < *out_ms => m.boot_ms = *back_ms,
+            _ => {}
+        }
+        m
+    }
+
     /// What to tell the engine for news from the present source.
     pub fn hear(&mut self, now: u64, kind: ListKind, mut members: Vec<Member>) -> Vec<Member> {
         let whole = kind != ListKind::Partial;
@@ -52,7 +120,7 @@
         // Named again by the new source: it stays.
         let told = &self.told;
         self.leaving.retain(|(_, uid)| told.get(uid).is_some_and(|m| m.state == State::Draining));
-        members
+        members.into_iter().map(|m| self.marked(m)).collect()
     }
 
     /// Those whose time to finish is over.
@@ -108,6 +176,44 @@
         assert!(roster.due(u64::MAX).is_empty());
     }
 
+    /// Guards against a list that still calls it ready, and against a server that was restarted meanwhile.
+    #[test]
+    fn a_server_taken_out_by_hand_drains_until_it_is_put_back_and_is_cold_then() {
+        let mut roster = Roster::default();
+        roster.hear(0, ListKind::Complete, vec![member("a"), member("b")]);
+        assert_eq!(roster.take_out(5_000_000, "nobody"), None);
+        let told = roster.take_out(5_000_000, "a").expect("known");
+        assert_eq!((told[0].uid.as_str(), told[0].state), ("a", State::Draining));
+        roster.take_out(6_000_000, "a").expect("a second call out");
+        for list in [vec![member("a")], vec![Member { state: State::Gone, ..member("a") }], vec![member("a")]]
+        {
+            for told in roster.hear(7_000_000, ListKind::Partial, list) {
+                assert_ne!(told.state, State::Ready);
+            }
+        }
+        let told = roster.put_back(9_000_000, "a").expect("known");
+        assert_eq!((told[0].state, told[0].boot_ms), (State::Ready, 9_000));
+        // The list's own word on its start counts once it is later than the mark.
+        let told = roster.hear(0, ListKind::Partial, vec![Member { boot_ms: 8_000, ..member("a") }]);
+        assert_eq!(told[0].boot_ms, 8_000);
+        assert_eq!(roster.put_back(9_000_000, "nobody"), None);
+        assert_eq!(roster.put_back(9_000_000, "b").expect("known")[0].boot_ms, 0);
+    }
+
+    #[test]
+    fn marks_are_bounded_and_those_of_listed_servers_stay() {
+        let mut roster = Roster::default();
+        for n in 0..MOST_MARKS + 10 {
+            let uid = format!("s-{n}");
+            let kept = member("kept");
+            roster.hear(0, ListKind::Complete, vec![kept, member(&uid)]);
+            roster.take_out(n as u64, "kept");
+            roster.take_out(n as u64, &uid).expect("known");
+        }
+        assert_eq!(roster.marks.len(), MOST_MARKS);
+        assert_eq!(roster.heard().find(|m| m.uid == "kept").map(|m| m.state), Some(State::Draining));
+    }
+
     /// The list agent's whole lists mean what they say.
     #[test]
     fn a_whole_list_of_the_same_source_forgets_what_it_leaves_out() {
--- a/crates/membership/src/source.rs
+++ b/crates/membership/src/source.rs
@@ -3,7 +3,7 @@
 use crate::dnssd;
 use crate::list;
 use crate::roster::Roster;
-use frosthatch_engine::{Engine, Member};
+use frosthatch_engine::{Engine, Member, State};
 use std::cell::RefCell;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -20,31 +20,54 @@
     DnsSd(Arc<dnssd::Plan>),
 }
 
-/// Where a source's news go.
-pub(crate) struct Desk {
+/// Where a source's news go, and what operators do to servers by hand.
+pub struct Desk {
     engine: Rc<Engine>,
     roster: RefCell<Roster>,
 }
 
 impl Desk {
-    pub fn tell(&self, kind: ListKind, members: Vec<Member>) {
+    pub fn new(engine: Rc<Engine>) -> Rc<Desk> {
+        Rc::new(Desk { engine, roster: RefCell::default() })
+    }
+
+    /// Takes a server out by hand; whether it is known. It is heard as draining before this returns.
+    pub fn take_out(&self, uid: &str) -> bool {
+        let now = self.engine.now();
+        let known = self.roster.borrow_mut().take_out(now, uid);
+        known.map(|told| self.engine.servers(ListKind::Partial, told)).is_some()
+    }
+
+    /// Puts a server back; whether it is known.
+    pub fn put_back(&self, uid: &str) -> bool {
+        let now = self.engine.now();
+        let known = self.roster.borrow_mut().put_back(now, uid);
+        known.map(|told| self.engine.servers(ListKind::Partial, told)).is_some()
+    }
+
+    /// Servers that are listed, and how many of them take nothing new.
+    pub fn listed(&self) -> (usize, usize) {
+        let roster = self.roster.borrow();
+        (roster.known().count(), roster.heard().filter(|m| m.state != State::Ready).count())
+    }
+
+    pub(crate) fn tell(&self, kind: ListKind, members: Vec<Member>) {
         let members = self.roster.borrow_mut().hear(self.engine.now(), kind, members);
         self.engine.servers(kind, members);
     }
 
-    pub fn now(&self) -> u64 {
+    pub(crate) fn now(&self) -> u64 {
         self.engine.now()
     }
 
-    pub fn known(&self) -> Vec<Member> {
+    pub(crate) fn known(&self) -> Vec<Member> {
         self.roster.borrow().known().cloned().collect()
     }
 }
 
 /// Follows the servers for good, wherever they are told. `known` are those from before the start; `seed` is the only
 /// source of chance.
-pub async fn run(mut sources: watch::Receiver<Source>, known: Vec<Member>, seed: u64, engine: Rc<Engine>) {
-    let desk = Rc::new(Desk { engine, roster: RefCell::default() });
+pub async fn run(mut sources: watch::Receiver<Source>, known: Vec<Member>, seed: u64, desk: Rc<Desk>) {
     desk.tell(ListKind::Persisted, known);
     tokio::task::spawn_local(let_go(desk.clone()));
     loop {
--- a/crates/turndeck/src/control.rs
+++ b/crates/turndeck/src/control.rs
@@ -1215,6 +1215,12 @@
         self.requests.len()
     }
 
+    /// Ready servers that hardly any request goes to, as more of them failed there than not.
+    pub fn avoided(&self) -> usize {
+        let forget_us = self.forget_us();
+        self.ready().filter(|s| s.thought(self.now, forget_us).1 > 0.5).count()
+    }
+
     /// Takes one event at clock `now` and appends what to do to `out`.
     pub fn handle(&mut self, now: Micros, event: Event, out: &mut Vec<Action>) {
         self.now = self.now.max(now);
