--- a/crates/frosthatch/src/console.rs
+++ b/crates/frosthatch/src/console.rs
@@ -2,6 +2,8 @@
 
 use frosthatch_console::{Class, Desk, Figures};
 use frosthatch_engine::Engine;
+use frosthatch_handover::driver::{Here, Tell};
+use frosthatch_handover::message;
 use frosthatch_http1::front::Door;
 use frosthatch_membership as membership;
 use std::cell::Cell;
@@ -13,6 +15,21 @@
     pub servers: Rc<membership::Desk>,
     /// New configurations that were taken over, and that were not.
     pub reloads: Rc<[Cell<u64>; 2]>,
+    /// Another process of this gateway hears of marks, too.
+    pub tell: Option<Tell>,
+}
+
+impl Console {
+    fn marked(&self, id: &str, known: bool) -> bool {
+        let mark = self.servers.marks().into_iter().find(|(uid, _)| uid == id);
+        if let (Some(tell), Some((server, mark))) = (&self.tell, mark) {
+            let mark = message::Mark { server, out_ms: mark.out_ms, back_ms: mark.back_ms };
+            if tell.try_send(Here::Marked(mark)).is_err() {
+                eprintln!("upgrade: a mark on {id} was not told to the other process");
+            }
+        }
+        known
+    }
 }
 
 impl Desk for Console {
@@ -40,11 +57,11 @@
     }
 
     fn disable(&self, id: &str) -> bool {
-        self.servers.take_out(id)
+        self.marked(id, self.servers.take_out(id))
     }
 
     fn enable(&self, id: &str) -> bool {
-        self.servers.put_back(id)
+        self.marked(id, self.servers.put_back(id))
     }
 
     fn drain(&self) {
--- a/crates/frosthatch/src/main.rs
+++ b/crates/frosthatch/src/main.rs
@@ -3,6 +3,7 @@
 
 mod console;
 mod diameter;
+mod handover;
 mod mistake;
 mod node;
 mod operator;
--- a/crates/frosthatch/src/operator.rs
+++ b/crates/frosthatch/src/operator.rs
@@ -27,6 +27,8 @@
     pub peers: Option<Peers>,
     /// Rules of the operator's own, in their order.
     pub plugins: Vec<plugins::Plan>,
+    /// The socket over which a new process takes over from this one.
+    pub upgrade: Option<PathBuf>,
 }
 
 /// The `[peers]` table.
@@ -98,6 +100,7 @@
         let diameter = root.table(&mut r, "diameter").and_then(|s| self::diameter(&mut r, s, folder));
         let peers = root.table(&mut r, "peers").and_then(|s| self::peers(&mut r, s, folder));
         let plugins = self::plugins(&mut r, &mut root, folder);
+        let upgrade = root.table(&mut r, "upgrade").and_then(|s| self::upgrade(&mut r, s, folder));
         if source == "dns-sd" && plan.is_none() {
             r.wrong(0..0, "membership.source is \"dns-sd\", but there is no such table", "add [dns-sd]");
         }
@@ -105,13 +108,26 @@
         match r.mistakes.is_empty() {
             true => {
                 let dns_sd = plan.flatten().filter(|_| source == "dns-sd").map(Arc::new);
-                Ok(Operator { dns_sd, diameter, peers, plugins })
+                Ok(Operator { dns_sd, diameter, peers, plugins, upgrade })
             }
             false => Err(r.mistakes),
         }
     }
 }
 
+/// Paths of Unix sockets hold no more, with what is added while one is made.
+const SOCKET_PATH_BYTES: usize = 90;
+
+fn upgrade(r: &mut Reader, mut s: Section, folder: &Path) -> Option<PathBuf> {
+    let right = format!("write a path of at most {SOCKET_PATH_BYTES} bytes");
+    let path = s.must(r, "socket", &right, |v| {
+        let path = folder.join(v.as_str().filter(|t| !t.is_empty())?);
+        (path.as_os_str().len() <= SOCKET_PATH_BYTES).then_some(path)
+    });
+    s.finish(r);
+    path
+}
+
 fn dns_sd(r: &mut Reader, mut s: Section, folder: &Path) -> Option<dnssd::Plan> {
     let a_service = "write names as \"_topup._tcp.example.org\", with the same service and domain";
     let services = s.texts(r, "services", 1..=dnssd::MOST_SERVICES, a_service);
--- a/crates/frosthatch/src/serve.rs
+++ b/crates/frosthatch/src/serve.rs
@@ -3,10 +3,11 @@
 use crate::console::Console;
 use crate::node::Config;
 use crate::operator::{self, Operator, Peers};
-use crate::{diameter, joined};
+use crate::{diameter, handover, joined};
 use frosthatch_console as console;
 use frosthatch_counter as counter;
 use frosthatch_engine::{Clock, Engine, Fleet, Ledger, Rules, Tally};
+use frosthatch_handover::driver::{self as upgrade, Here, Host};
 use frosthatch_http1::backend::{self, Limits, Upstream};
 use frosthatch_http1::front::Door;
 use frosthatch_http1::{BODY_BYTES, HEAD_BYTES};
@@ -19,9 +20,9 @@
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 use tokio::net::{TcpListener, UdpSocket};
 use tokio::signal::unix::{signal, SignalKind};
-use tokio::sync::{mpsc, watch};
+use tokio::sync::{mpsc, watch, Notify};
 use tokio::task::{spawn_local, LocalSet};
-use tokio::time::{sleep, timeout};
+use tokio::time::{sleep, timeout_at, Instant};
 use turndeck::{Gateway, Settings};
 
 /// After SIGTERM connections go on coming for up to 0.4 s.
@@ -105,6 +106,11 @@
     // connections that are kept, and for clients that are none of ours.
     let to_servers = config.sockets * 2 / 5;
     let memory = config.memory_mb << 20;
+    let meeting_place = handover::meeting_place(&config, &operator);
+    let inherited = match &meeting_place {
+        Some(path) => upgrade::inherit(path).await,
+        None => None,
+    };
     let for_clients = if operator.diameter.is_some() { memory / diameter::HTTP_PART } else { memory * 3 / 4 };
     let in_memory = for_clients / CLIENT_BYTES;
     let clients = config.sockets.saturating_sub(to_servers + other_sockets).min(in_memory);
@@ -129,7 +135,11 @@
     let config = Rc::new(config);
     let ledger = told.as_ref().map(|(told, _)| told.clone() as Rc<dyn Ledger>);
     let engine = Rc::new(Engine::new(gateway, fleets, calls, ledger, tally, clock.clone()));
-    let listener = TcpListener::bind(config.listen).await.map_err(|e| format!("cannot listen: {e}"))?;
+    let listener = match inherited.as_ref().and_then(|i| i.listener(handover::CLIENTS, config.listen)) {
+        Some(listener) => listener.and_then(TcpListener::from_std),
+        None => handover::listen(&config, meeting_place.is_some()),
+    };
+    let listener = Rc::new(listener.map_err(|e| format!("cannot listen: {e}"))?);
     let address = listener.local_addr().map_err(|e| format!("cannot listen: {e}"))?;
     let mut diameter = match half {
         Some((half, d)) => Some(half.join(d, config.clone(), engine.clone()).await?),
@@ -159,14 +169,34 @@
         spawn_local(rules.clone().tick());
     }
     let reloads: Rc<[Cell<u64>; 2]> = Rc::default();
-    let door = Door::new(engine.clone(), upstream, config.settings.clone(), gate, clients);
-    spawn_local(door.clone().accept(listener));
+    let door = Door::new(engine.clone(), upstream.clone(), config.settings.clone(), gate, clients);
+    // With what a new process inherits it waits until it is ready, and the old one serves.
+    door.turn(inherited.is_none());
+    spawn_local(door.clone().accept(listener.clone()));
+    let mut tell = None;
+    let given_up = Rc::new(Notify::new());
+    if let Some(path) = meeting_place {
+        let halves = |n: usize| [n, n / 2];
+        let shares = handover::Shares { clients: halves(clients), to_servers: halves(to_servers) };
+        let (door, upstream, servers) = (door.clone(), upstream.clone(), servers.clone());
+        let (clients, ends) = (door.clone(), given_up.clone());
+        let host = Rc::new(handover::Process { listener, door: clients, upstream, servers, shares, ends });
+        if let Some(inherited) = &inherited {
+            host.halve(true);
+            inherited.state.marks.iter().for_each(|mark| host.mark(mark.clone()));
+        }
+        let (teller, here) = upgrade::telling();
+        spawn_local(handover::tell_prepared(door, teller.clone()));
+        spawn_local(upgrade::run(path, inherited, host, here));
+        tell = Some(teller);
+    }
     if let Some(at) = config.console {
         let listener =
             TcpListener::bind(at).await.map_err(|e| format!("console: cannot listen on {at}: {e}"))?;
         let at = listener.local_addr().map_err(|e| format!("console: {e}"))?;
         eprintln!("console on {at}");
-        let desk = Console { engine, door: door.clone(), servers, reloads: reloads.clone() };
+        let tell = tell.clone();
+        let desk = Console { engine, door: door.clone(), servers, reloads: reloads.clone(), tell };
         spawn_local(console::listen(listener, Rc::new(desk)));
     }
     let reloaded = |well: bool| {
@@ -178,6 +208,7 @@
     loop {
         tokio::select! {
             _ = terminate.recv() => break,
+            () = given_up.notified() => return Err("a running process could not be replaced".into()),
             _ = hangup.recv() => match (Config::from_env(), operator::read(operator_file)) {
                 (Ok(config), Ok(operator)) => {
                     if operator.peers != peers_then {
@@ -208,10 +239,24 @@
         }
     }
     door.leave();
+    if let Some(tell) = &tell {
+        let _ = tell.try_send(Here::Terminate);
+    }
     if let Some(spoken) = &diameter {
         spoken.front.leave();
     }
-    sleep(STILL_COMING).await;
+    let all_answered = Duration::from_micros(longest) + LAST_ANSWERS;
+    let ends = Instant::now() + STILL_COMING + all_answered;
+    if door.accepting() {
+        sleep(STILL_COMING).await;
+    } else {
+        // Another process accepts: nothing comes any more but over connections that are there, and those that stay idle
+        // are closed late, so that few closes cross a request.
+        while door.open() > 0 && Instant::now() + STILL_COMING * 2 < ends {
+            door.close_stale();
+            sleep(Duration::from_millis(10)).await;
+        }
+    }
     let finish = async {
         while door.open() > 0 || diameter.as_ref().is_some_and(|d| d.front.held() > 0) {
             // Again and again: a connection may have come since.
@@ -219,7 +264,7 @@
             sleep(Duration::from_millis(10)).await;
         }
     };
-    let _ = timeout(Duration::from_micros(longest) + LAST_ANSWERS, finish).await;
+    let _ = timeout_at(ends, finish).await;
     if let Some(diameter::Spoken { front, servers, .. }) = diameter {
         // Nothing is held any more: both sides hear why their connections end (RFC 6733 section 5.4).
         front.goodbye();
--- /dev/null
+++ b/crates/handover/src/driver.rs
@@ -0,0 +1,249 @@
+//! The sockets of a handover: the one that a running process is called on, and the link between the two.
+
+use crate::elder::{self, Elder};
+use crate::heir::{self, Heir};
+use crate::message::{Mark, Message, State, VERSION};
+use crate::pipe::Pipe;
+use std::io;
+use std::net::{SocketAddr, TcpListener};
+use std::os::fd::OwnedFd;
+use std::os::unix::fs::PermissionsExt;
+use std::path::{Path, PathBuf};
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::net::{UnixListener, UnixStream};
+use tokio::sync::mpsc;
+use tokio::time::{sleep, timeout, Instant};
+
+/// How often time is told to the steps.
+const TICK: Duration = Duration::from_millis(100);
+/// A stranger's or a second caller's first words are not waited for; an answer to it is written within this.
+const REFUSES_WITHIN: Duration = Duration::from_millis(500);
+/// A caller says hello within this.
+const SPEAKS_WITHIN: Duration = Duration::from_secs(1);
+/// Marks that wait to be told at most.
+const MOST_WAITING: usize = 256;
+
+/// What a process that takes part in a handover does.
+pub trait Host {
+    /// The listeners that can be lent, by name.
+    fn listeners(&self) -> Vec<(String, OwnedFd)>;
+    fn state(&self) -> State;
+    /// Holds to half of the limits, or to all.
+    fn halve(&self, half: bool);
+    fn accept(&self, yes: bool);
+    fn mark(&self, mark: Mark);
+    /// Ends: another process serves on.
+    fn end(&self);
+}
+
+/// What happens in this process that the other side must hear of.
+pub enum Here {
+    Terminate,
+    Marked(Mark),
+    /// It is ready to serve.
+    Prepared,
+}
+
+pub type Tell = mpsc::Sender<Here>;
+
+pub fn telling() -> (Tell, mpsc::Receiver<Here>) {
+    mpsc::channel(MOST_WAITING)
+}
+
+/// What a new process has got from the old one.
+pub struct Inherited {
+    pub listeners: Vec<(String, TcpListener)>,
+    pub state: State,
+    heir: Heir,
+    pipe: Pipe,
+    since: Instant,
+}
+
+impl Inherited {
+    /// The listener of this name, if it stands at this address (port 0: any).
+    pub fn listener(&self, name: &str, at: SocketAddr) -> Option<io::Result<TcpListener>> {
+        let (_, listener) = self.listeners.iter().find(|(n, _)| n == name)?;
+        let there = listener.local_addr().ok()?;
+        let same = there.ip() == at.ip() && (at.port() == 0 || there.port() == at.port());
+        same.then(|| listener.try_clone())
+    }
+}
+
+/// Calls the process that is there, if one is: none if this one has to listen by itself.
+pub async fn inherit(path: &Path) -> Option<Inherited> {
+    let stream = UnixStream::connect(path).await.ok()?;
+    let (pipe, since) = (Pipe::new(stream), Instant::now());
+    let mut steps = Vec::new();
+    let mut heir = Heir::new(since.elapsed(), std::process::id(), &mut steps);
+    loop {
+        for step in steps.drain(..) {
+            match step {
+                heir::Output::Say(message) => drop(pipe.say(&message, &[]).await),
+                heir::Output::Log(line) => eprintln!("{line}"),
+                heir::Output::Adopt(names, state) => {
+                    let fds = pipe.lent();
+                    if fds.len() != names.len() {
+                        eprintln!("upgrade: {} listeners of {} came", fds.len(), names.len());
+                        return None;
+                    }
+                    let listeners = names.into_iter().zip(fds.into_iter().map(TcpListener::from)).collect();
+                    return Some(Inherited { listeners, state, heir, pipe, since });
+                }
+                heir::Output::Bind => return None,
+                _ => {}
+            }
+        }
+        let input = tokio::select! {
+            heard = pipe.hear() => match heard {
+                Ok(Some(message)) => heir::Input::Heard(message),
+                Ok(None) | Err(_) => heir::Input::Left,
+            },
+            () = sleep(TICK) => heir::Input::Tick,
+        };
+        heir.handle(since.elapsed(), input, &mut steps);
+    }
+}
+
+/// Goes through the rest of a handover as the new process, and returns once it is alone; false: it is to end.
+async fn succeed(inherited: Inherited, host: &dyn Host, here: &mut mpsc::Receiver<Here>) -> bool {
+    let Inherited { mut heir, pipe, since, .. } = inherited;
+    let mut steps = Vec::new();
+    while heir.stage() != heir::Stage::Alone {
+        let input = tokio::select! {
+            heard = pipe.hear() => match heard {
+                Ok(Some(message)) => heir::Input::Heard(message),
+                Ok(None) | Err(_) => heir::Input::Left,
+            },
+            told = here.recv() => match told {
+                Some(Here::Prepared) => heir::Input::Prepared,
+                Some(Here::Marked(mark)) => heir::Input::Marked(mark),
+                Some(Here::Terminate) => heir::Input::Tick,
+                None => return true,
+            },
+        };
+        heir.handle(since.elapsed(), input, &mut steps);
+        for step in steps.drain(..) {
+            match step {
+                // A link that breaks is heard of as its end.
+                heir::Output::Say(message) => drop(pipe.say(&message, &[]).await),
+                heir::Output::Accept => host.accept(true),
+                heir::Output::Whole => host.halve(false),
+                heir::Output::Mark(mark) => host.mark(mark),
+                heir::Output::Log(line) => eprintln!("{line}"),
+                heir::Output::GiveUp(why) => {
+                    eprintln!("upgrade: {why}; the old process serves on");
+                    return false;
+                }
+                heir::Output::HangUp | heir::Output::Bind | heir::Output::Adopt(..) => {}
+            }
+        }
+    }
+    true
+}
+
+/// A socket under this path that only the owner reaches. It appears whole, in place of the one that was there.
+fn listen(path: &Path) -> io::Result<UnixListener> {
+    let new = path.with_extension(format!("new-{}", std::process::id()));
+    let _ = std::fs::remove_file(&new);
+    let listener = UnixListener::bind(&new)?;
+    std::fs::set_permissions(&new, std::fs::Permissions::from_mode(0o600))?;
+    std::fs::rename(&new, path)?;
+    Ok(listener)
+}
+
+/// Takes part for good: first as the new process, if it has inherited, then as one that others may take over from.
+pub async fn run(
+    path: PathBuf,
+    inherited: Option<Inherited>,
+    host: Rc<dyn Host>,
+    mut here: mpsc::Receiver<Here>,
+) {
+    if let Some(inherited) = inherited {
+        if !succeed(inherited, &*host, &mut here).await {
+            return host.end();
+        }
+    }
+    let listener = match listen(&path) {
+        Ok(listener) => listener,
+        Err(e) => return eprintln!("upgrade: cannot listen on {}: {e}", path.display()),
+    };
+    let (mut elder, since) = (Elder::default(), Instant::now());
+    let mut ticks = tokio::time::interval(TICK);
+    ticks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+    let mut link: Option<(Rc<Pipe>, Instant)> = None;
+    let mut steps = Vec::new();
+    loop {
+        let hear = async {
+            match &link {
+                Some((pipe, _)) => match pipe.hear().await {
+                    Ok(Some(message)) => elder::Input::Heard(message),
+                    Ok(None) | Err(_) => elder::Input::Left,
+                },
+                None => std::future::pending().await,
+            }
+        };
+        let input = tokio::select! {
+            called = listener.accept() => match called {
+                Ok((stream, _)) => {
+                    called_by(stream, &mut link);
+                    continue;
+                }
+                Err(_) => {
+                    sleep(TICK).await;
+                    continue;
+                }
+            },
+            input = hear => input,
+            told = here.recv() => match told {
+                Some(Here::Terminate) => elder::Input::Terminate,
+                Some(Here::Marked(mark)) => elder::Input::Marked(mark),
+                Some(Here::Prepared) => continue,
+                None => return,
+            },
+            // Not a pause that begins anew: callers must not hold time up.
+            _ = ticks.tick(), if link.is_some() => elder::Input::Tick,
+        };
+        let left = input == elder::Input::Left;
+        elder.handle(since.elapsed(), input, &mut steps);
+        for step in steps.drain(..) {
+            match (step, link.as_ref().map(|(pipe, _)| pipe)) {
+                (elder::Output::Say(message), Some(pipe)) => drop(pipe.say(&message, &[]).await),
+                (elder::Output::Lend, Some(pipe)) => {
+                    let (listeners, fds) = host.listeners().into_iter().unzip();
+                    let welcome = Message::Welcome { version: VERSION, listeners, state: host.state() };
+                    let fds: Vec<OwnedFd> = fds;
+                    drop(pipe.say(&welcome, &fds).await);
+                }
+                (elder::Output::HangUp, _) => link = None,
+                (elder::Output::Halve(half), _) => host.halve(half),
+                (elder::Output::Accept(yes), _) => host.accept(yes),
+                (elder::Output::Mark(mark), _) => host.mark(mark),
+                (elder::Output::Log(line), _) => eprintln!("{line}"),
+                (elder::Output::Say(_) | elder::Output::Lend, None) => {}
+            }
+        }
+        // Guards against a caller that holds the link and says nothing.
+        let idle = link.as_ref().is_some_and(|(_, since)| since.elapsed() >= SPEAKS_WITHIN);
+        if left || idle && elder.stage() == elder::Stage::Alone {
+            link = None;
+        }
+    }
+}
+
+/// Somebody calls: the first is linked, if it runs as the same user; others hear why not.
+fn called_by(stream: UnixStream, link: &mut Option<(Rc<Pipe>, Instant)>) {
+    let own = rustix::process::geteuid().as_raw();
+    let why = match stream.peer_cred() {
+        Ok(peer) if peer.uid() == own && link.is_none() => {
+            *link = Some((Rc::new(Pipe::new(stream)), Instant::now()));
+            return;
+        }
+        Ok(peer) if peer.uid() == own => "another upgrade is under way",
+        _ => "not the owner",
+    };
+    let refused = Message::Refused { why: why.into() };
+    tokio::task::spawn_local(async move {
+        let _ = timeout(REFUSES_WITHIN, Pipe::new(stream).say(&refused, &[])).await;
+    });
+}
--- a/crates/http1/src/backend.rs
+++ b/crates/http1/src/backend.rs
@@ -94,6 +94,8 @@
 /// The servers that are known, with the connections to each.
 pub struct Upstream {
     limits: Limits,
+    /// Connections to all servers at most, as things stand.
+    connections: Cell<usize>,
     servers: RefCell<HashMap<ServerId, Server>>,
     /// Who stands at an address: more than one for as long as news that the older ones are gone has not come.
     at: RefCell<HashMap<SocketAddr, Vec<ServerId>>>,
@@ -108,7 +110,13 @@
     pub fn new(limits: Limits, tally: Rc<Tally>) -> Self {
         let room = Arc::new(AtomicUsize::new(limits.long_answers));
         let (servers, at, open, staleness) = Default::default();
-        Upstream { limits, servers, at, open, tally, staleness, room }
+        let connections = Cell::new(limits.connections);
+        Upstream { limits, connections, servers, at, open, tally, staleness, room }
+    }
+
+    /// Holds to so many connections from now on.
+    pub fn hold_to(&self, connections: usize) {
+        self.connections.set(connections);
     }
 
     /// Where new requests for a server may go, and what tells that it is gone; none if it drains or is gone.
@@ -149,7 +157,7 @@
 
     /// Makes room for one more connection, at the cost of the one that has been idle longest.
     fn slot(&self) -> Option<Slot> {
-        if self.open.get() >= self.limits.connections {
+        if self.open.get() >= self.connections.get() {
             let mut servers = self.servers.borrow_mut();
             let oldest = |s: &&mut Server| s.idle.first().map(|i| i.since);
             let s = servers.values_mut().filter(|s| !s.idle.is_empty()).min_by_key(oldest)?;
--- a/crates/http1/src/front.rs
+++ b/crates/http1/src/front.rs
@@ -72,8 +72,11 @@
     /// By number.
     idle: RefCell<HashMap<u64, Idle>>,
     open: Cell<usize>,
-    /// Connections held at most.
-    most: usize,
+    /// Connections held at most, as things stand.
+    most: Cell<usize>,
+    /// Another process accepts, as long as this is not set.
+    accepting: Cell<bool>,
+    turned: Notify,
 }
 
 /// One client's connection.
@@ -95,8 +98,21 @@
         most: usize,
     ) -> Rc<Self> {
         let (leaving, emptying, open) = (Cell::new(false), Cell::new(None), Cell::new(0));
-        let idle = RefCell::default();
-        Rc::new(Door { engine, upstream, settings, rules, leaving, emptying, idle, open, most })
+        let (idle, most) = (RefCell::default(), Cell::new(most));
+        let (accepting, turned) = (Cell::new(true), Notify::new());
+        Rc::new(Door {
+            engine,
+            upstream,
+            settings,
+            rules,
+            leaving,
+            emptying,
+            idle,
+            open,
+            most,
+            accepting,
+            turned,
+        })
     }
 
     /// From now on every answer closes its connection.
@@ -106,7 +122,12 @@
 
     /// Whether new clients may come.
     pub fn ready(&self) -> bool {
-        self.engine.ready() && !self.ends_connections()
+        self.engine.ready() && self.accepting.get() && !self.ends_connections()
+    }
+
+    /// Whether requests can be served, whoever accepts connections.
+    pub fn prepared(&self) -> bool {
+        self.engine.ready()
     }
 
     /// Every answer closes its connection.
@@ -151,6 +172,26 @@
         self.open.get()
     }
 
+    /// Holds to so many connections from now on.
+    pub fn hold_to(&self, most: usize) {
+        self.most.set(most);
+    }
+
+    /// Whether connections are accepted here, or by another process at the same listener.
+    pub fn accepting(&self) -> bool {
+        self.accepting.get()
+    }
+
+    pub fn turn(&self, accepting: bool) {
+        self.accepting.set(accepting);
+        self.turned.notify_one();
+    }
+
+    /// Lets go of connections that have been idle for a while.
+    pub fn close_stale(&self) {
+        self.close_idle(EMPTIES_IDLE);
+    }
+
     /// Ends the connection that has been idle longest, if any has been for long enough.
     fn make_room(&self) -> bool {
         let now = Instant::now();
@@ -161,16 +202,23 @@
     }
 
     /// Accepts connections for good.
-    pub async fn accept(self: Rc<Self>, listener: TcpListener) {
+    pub async fn accept(self: Rc<Self>, listener: Rc<TcpListener>) {
         for number in 0.. {
+            while !self.accepting() {
+                self.turned.notified().await;
+            }
             // Guards against running out of descriptors: those that are idle make room.
-            while self.open() >= self.most {
+            while self.open() >= self.most.get() {
                 match self.make_room() {
                     true => yield_now().await,
                     false => sleep(Duration::from_millis(2)).await,
                 }
             }
-            match listener.accept().await {
+            let accepted = tokio::select! {
+                accepted = listener.accept() => accepted,
+                () = self.turned.notified() => continue,
+            };
+            match accepted {
                 Ok((stream, _)) => {
                     let door = self.clone();
                     self.open.set(self.open.get() + 1);
--- a/crates/membership/src/lib.rs
+++ b/crates/membership/src/lib.rs
@@ -7,4 +7,5 @@
 mod roster;
 mod source;
 
+pub use roster::Mark;
 pub use source::{run, Desk, Source};
--- a/crates/membership/src/roster.rs
+++ b/crates/membership/src/roster.rs
@@ -13,11 +13,11 @@
 
 /// What an operator has done to a server by hand.
 #[derive(Clone, Copy, Debug, PartialEq)]
-struct Mark {
-    /// When it was taken out, in milliseconds.
-    out_ms: u64,
+pub struct Mark {
+    /// When it was taken out, Unix time in milliseconds.
+    pub out_ms: u64,
     /// When it was put back; none: it is out.
-    back_ms: Option<u64>,
+    pub back_ms: Option<u64>,
 }
 
 #[derive(Default)]
@@ -71,6 +71,19 @@
         Some(self.told.get(uid).map(|m| self.marked(m.clone())).into_iter().collect())
     }
 
+    pub fn marks(&self) -> impl Iterator<Item = (&String, &Mark)> {
+        self.marks.iter()
+    }
+
+    /// A mark made elsewhere under the same name; what to tell the engine.
+    pub fn set_mark(&mut self, uid: &str, mark: Mark) -> Vec<Member> {
+        if !self.marks.contains_key(uid) {
+            self.forget_marks();
+        }
+        self.marks.insert(uid.into(), mark);
+        self.told.get(uid).map(|m| self.marked(m.clone())).into_iter().collect()
+    }
+
     /// Bounds the marks: those that say nothing any more go first, then those of servers that nobody lists.
     fn forget_marks(&mut self) {
         if self.marks.len() < MOST_MARKS {
--- a/crates/membership/src/source.rs
+++ b/crates/membership/src/source.rs
@@ -2,7 +2,7 @@
 
 use crate::dnssd;
 use crate::list;
-use crate::roster::Roster;
+use crate::roster::{Mark, Roster};
 use frosthatch_engine::{Engine, Member, State};
 use std::cell::RefCell;
 use std::net::SocketAddr;
@@ -45,6 +45,17 @@
         known.map(|told| self.engine.servers(ListKind::Partial, told)).is_some()
     }
 
+    /// What operators did to servers by hand, by their names.
+    pub fn marks(&self) -> Vec<(String, Mark)> {
+        self.roster.borrow().marks().map(|(uid, mark)| (uid.clone(), *mark)).collect()
+    }
+
+    /// The same for one server, as told by another process of this gateway.
+    pub fn set_mark(&self, uid: &str, mark: Mark) {
+        let told = self.roster.borrow_mut().set_mark(uid, mark);
+        self.engine.servers(ListKind::Partial, told);
+    }
+
     /// Servers that are listed, and how many of them take nothing new.
     pub fn listed(&self) -> (usize, usize) {
         let roster = self.roster.borrow();
--- a/crates/standins/src/program.rs
+++ b/crates/standins/src/program.rs
@@ -94,11 +94,20 @@
         let config = config_file(text);
         let mut child = command(&config).args(words).spawn().expect("the gateway starts");
         let mut lines = BufReader::new(child.stderr.take().expect("stderr"));
-        let mut line = String::new();
-        lines.read_line(&mut line).expect("a line");
-        let address = line.trim_end().rsplit(' ').next().and_then(|a| a.parse().ok());
+        let mut ahead = String::new();
+        let address = loop {
+            let mut line = String::new();
+            if lines.read_line(&mut line).unwrap_or(0) == 0 {
+                let _ = child.wait();
+                panic!("it ended before it listened: {ahead}");
+            }
+            match line.trim_end().split_once(" listens on ").and_then(|(_, a)| a.parse().ok()) {
+                Some(address) => break address,
+                None => ahead.push_str(&line),
+            }
+        };
         thread::spawn(move || lines.lines().map_while(Result::ok).for_each(|l| log(&l)));
-        Gateway { child, address: address.unwrap_or_else(|| panic!("no address in {line:?}")), config }
+        Gateway { child, address, config }
     }
 
     pub fn ready(&self) -> bool {
@@ -114,7 +123,12 @@
     }
 
     pub fn client(&self) -> Client {
-        let stream = TcpStream::connect(self.address).expect("the gateway accepts");
+        self.client_at(self.address)
+    }
+
+    /// At an address that it shares with another process.
+    pub fn client_at(&self, address: SocketAddr) -> Client {
+        let stream = TcpStream::connect(address).expect("the gateway accepts");
         stream.set_read_timeout(Some(LONG)).expect("a time-out");
         Client { write: stream.try_clone().expect("a clone"), read: BufReader::new(stream) }
     }
@@ -184,6 +198,11 @@
         read_message(&mut self.read)
     }
 
+    /// The body of the answer to another check, over the same connection.
+    pub fn ask_again(&mut self) -> String {
+        self.ask(&Ask::check().text()).expect("an answer").body
+    }
+
     pub fn ask(&mut self, text: &str) -> Option<Message> {
         self.send(text);
         self.answer()
