--- a/crates/diameter/src/front.rs
+++ b/crates/diameter/src/front.rs
@@ -278,7 +278,8 @@
             let mut answer = match answer {
                 Answer::Served(bytes) => Message::decode(bytes).unwrap_or(own),
                 Answer::Refused { retry_after } => refusal(own, retry_after),
-                Answer::Failed { .. } => own,
+                // Of HTTP only is an answer passed on in parts.
+                Answer::Failed { .. } | Answer::Passing(..) => own,
             };
             {
                 let (mut reporter, now) = (front.reporter.borrow_mut(), front.engine.now());
--- a/crates/engine/src/engine.rs
+++ b/crates/engine/src/engine.rs
@@ -202,7 +202,10 @@
             if ended.status == Status::Served {
                 if let Some(answer) = held.answer.take() {
                     self.tally.ended(held.class, tally::Outcome::Served);
-                    let _ = answer.send(Answer::Served(ended.body));
+                    let _ = answer.send(match ended.rest {
+                        None => Answer::Served(ended.body),
+                        Some(rest) => Answer::Passing(ended.body, rest),
+                    });
                 }
             }
             let elapsed = out.since.elapsed().as_micros() as Micros;
--- a/crates/engine/src/ports.rs
+++ b/crates/engine/src/ports.rs
@@ -1,6 +1,7 @@
 //! What the engine exchanges with fronts, backends, membership sources and counters.
 
 use bytes::Bytes;
+use std::any::Any;
 use std::future::Future;
 use std::net::SocketAddr;
 use std::pin::Pin;
@@ -79,13 +80,15 @@
     pub status: Status,
     /// The answer in the protocol of its payload.
     pub body: Bytes,
+    /// More of the answer comes: what the front of its protocol passes on.
+    pub rest: Option<Box<dyn Any>>,
     pub metered_use: Option<f64>,
     pub report: Vec<(Load, f64)>,
 }
 
 impl Ended {
     pub fn without_answer(status: Status) -> Self {
-        Ended { status, body: Bytes::new(), metered_use: None, report: Vec::new() }
+        Ended { status, body: Bytes::new(), rest: None, metered_use: None, report: Vec::new() }
     }
 }
 
@@ -100,6 +103,8 @@
 /// The one final answer of a request.
 pub enum Answer {
     Served(Bytes),
+    /// Served, with more to come than the first bytes: by the backend, for the front of the same protocol.
+    Passing(Bytes, Box<dyn Any>),
     Refused {
         retry_after: Duration,
     },
--- a/crates/frosthatch/src/serve.rs
+++ b/crates/frosthatch/src/serve.rs
@@ -111,7 +111,7 @@
         Some(path) => upgrade::inherit(path).await,
         None => None,
     };
-    let for_clients = if operator.diameter.is_some() { memory / diameter::HTTP_PART } else { memory * 3 / 4 };
+    let for_clients = if operator.diameter.is_some() { memory / diameter::HTTP_PART } else { memory / 2 };
     let in_memory = for_clients / CLIENT_BYTES;
     let clients = config.sockets.saturating_sub(to_servers + other_sockets).min(in_memory);
     let tally = Rc::new(Tally::new(config.settings.classes.iter().map(|c| c.name.clone())));
@@ -120,7 +120,7 @@
         idle: config.server_idle / 3,
         connections: to_servers,
         // Beside what clients' connections may hold, with some to spare.
-        long_answers: config.memory_mb / 8 * 1_048_576,
+        long_requests: memory / 4,
     };
     let upstream = Rc::new(Upstream::new(limits, tally.clone()));
     let (calls, called) = mpsc::channel(counter::MOST_OUT);
--- a/crates/http1/src/backend.rs
+++ b/crates/http1/src/backend.rs
@@ -1,9 +1,11 @@
 //! Attempts at servers, and the pool of connections that they use. A connection carries one request at a time and is
 //! closed as soon as it is dropped: nothing is ever sent again by itself.
 
-use crate::conn::{Answer, Conn, Room};
+use crate::conn::{Answer, Conn, Room, Unread};
+use crate::message::BODY_BYTES;
 use crate::staleness::Staleness;
 use frosthatch_engine::{Attempt, Ended, Fleet, Member, Payload, Protocol, State, Tally};
+use std::any::Any;
 use std::cell::{Cell, RefCell};
 use std::collections::{HashMap, HashSet};
 use std::io;
@@ -16,27 +18,35 @@
 use tokio::time::{timeout, timeout_at, Instant};
 use turndeck::{ServerId, Status};
 
-/// Servers do answer at greater length than was agreed. What no server sends is no answer; what some might is kept while
-/// all such answers together have room. Where they outgrow that room, attempts fail that ran well.
-const ANSWER_BYTES: usize = 1 << 20;
-
 /// What of a client's request goes on to a server.
 pub struct Forward {
     /// Its line and its headers, each with its end, but for the time that is left.
     pub head: Vec<u8>,
     pub body: Vec<u8>,
+    /// Where the body is kept, if it is long.
+    pub room: Option<Room>,
     /// Of its class, by number.
     pub class: usize,
 }
 
 impl Forward {
-    /// The request as a server gets it, when the gateway will wait for `left`.
-    fn request(&self, left: Duration) -> Vec<u8> {
+    /// The head as a server gets it, when the gateway will wait for `left`.
+    fn head(&self, left: Duration) -> Vec<u8> {
         let left = format!("X-Expires-In: {:.3}\r\n\r\n", left.as_secs_f64());
-        [&self.head[..], left.as_bytes(), &self.body[..]].concat()
+        [&self.head[..], left.as_bytes()].concat()
     }
 }
 
+/// A long answer on its way: what has not come yet, and the connection over which it does.
+pub struct Passing {
+    pub unread: Unread,
+    pub conn: Conn,
+    slot: Slot,
+    server: ServerId,
+    address: SocketAddr,
+    reusable: bool,
+}
+
 /// A request on its way to whichever server is chosen.
 pub struct Outgoing {
     pub forward: Rc<Forward>,
@@ -46,9 +56,7 @@
 impl Payload for Outgoing {
     fn attempt(&self, server: &ServerId, deadline: Instant) -> Attempt {
         let (upstream, forward, server) = (self.upstream.clone(), self.forward.clone(), server.clone());
-        Box::pin(async move {
-            upstream.attempt(&server, forward.class, |left| forward.request(left), deadline).await
-        })
+        Box::pin(async move { upstream.attempt(&server, &forward, deadline).await })
     }
 }
 
@@ -87,8 +95,8 @@
     pub idle: Duration,
     /// Connections to all servers at most.
     pub connections: usize,
-    /// Memory that long answers may take together.
-    pub long_answers: usize,
+    /// Memory that long requests may take together.
+    pub long_requests: usize,
 }
 
 /// The servers that are known, with the connections to each.
@@ -102,13 +110,13 @@
     open: Rc<Cell<usize>>,
     tally: Rc<Tally>,
     staleness: RefCell<Staleness>,
-    /// What is left of the memory for long answers.
+    /// What is left of the memory for long requests.
     room: Arc<AtomicUsize>,
 }
 
 impl Upstream {
     pub fn new(limits: Limits, tally: Rc<Tally>) -> Self {
-        let room = Arc::new(AtomicUsize::new(limits.long_answers));
+        let room = Arc::new(AtomicUsize::new(limits.long_requests));
         let (servers, at, open, staleness) = Default::default();
         let connections = Cell::new(limits.connections);
         Upstream { limits, connections, servers, at, open, tally, staleness, room }
@@ -146,6 +154,19 @@
         }
     }
 
+    /// A long answer has been passed on whole.
+    pub fn passed(&self, passing: Passing) {
+        let Passing { conn, slot, server, address, reusable, .. } = passing;
+        if reusable {
+            self.put_back(&server, address, conn, slot);
+        }
+    }
+
+    /// Room for the body of a long request.
+    pub fn room(&self) -> Room {
+        Room::new(self.room.clone())
+    }
+
     /// Closes what has stood idle for long or was closed by its server.
     pub fn sweep(&self) {
         self.staleness.borrow_mut().fade();
@@ -167,14 +188,8 @@
         Some(Slot(self.open.clone()))
     }
 
-    /// One attempt: `build` makes the request from the time that is left. Whatever happens, it ends by `deadline`.
-    pub async fn attempt(
-        &self,
-        server: &ServerId,
-        class: usize,
-        build: impl FnOnce(Duration) -> Vec<u8>,
-        deadline: Instant,
-    ) -> Ended {
+    /// One attempt. Whatever happens, it ends by `deadline`, but for what comes of a long answer after its first bytes.
+    pub async fn attempt(&self, server: &ServerId, forward: &Forward, deadline: Instant) -> Ended {
         let never = Ended::without_answer(Status::NoConnection);
         let Some((address, gone)) = self.wanted(server) else { return never };
         let connection = timeout_at(deadline, self.connection(server, address));
@@ -183,12 +198,13 @@
         if self.wanted(server).is_none_or(|(now, _)| now != address) {
             return never;
         }
-        let request = build(deadline.saturating_duration_since(Instant::now()));
+        let head = forward.head(deadline.saturating_duration_since(Instant::now()));
+        let request = [&head[..], &forward.body[..]];
+        let length = head.len() + forward.body.len();
         let written = Cell::new(0);
         let begun = Instant::now();
-        let room = Room::new(ANSWER_BYTES, self.room.clone());
         let answer = tokio::select! {
-            answer = timeout_at(deadline, conn.ask(&request, room, &written, || self.tally.attempted(class))) => answer,
+            answer = timeout_at(deadline, conn.ask(request, BODY_BYTES, &written, || self.tally.attempted(forward.class))) => answer,
             () = gone.notified() => Ok(Err(io::ErrorKind::ConnectionAborted.into())),
         };
         if let Some(idle) = idle {
@@ -196,15 +212,30 @@
             self.staleness.borrow_mut().note(idle, lost);
         }
         match answer {
-            Ok(Ok(answer)) => {
+            Ok(Ok(mut answer)) => {
                 let status = status(&answer);
-                if answer.reusable {
-                    self.put_back(server, address, conn, slot);
+                let rest = match answer.rest.take() {
+                    Some(unread) => {
+                        let (server, reusable) = (server.clone(), answer.reusable);
+                        Some(Box::new(Passing { unread, conn, slot, server, address, reusable })
+                            as Box<dyn Any>)
+                    }
+                    None if answer.reusable => {
+                        self.put_back(server, address, conn, slot);
+                        None
+                    }
+                    None => None,
+                };
+                Ended {
+                    status,
+                    body: answer.body,
+                    rest,
+                    metered_use: answer.metered_use,
+                    report: answer.report,
                 }
-                Ended { status, body: answer.body, metered_use: answer.metered_use, report: answer.report }
             }
             // Not written whole: it never began. Else it may have run, or may yet.
-            _ if written.get() < request.len() => never,
+            _ if written.get() < length => never,
             Ok(Err(_)) => Ended::without_answer(Status::ConnectionLost),
             Err(_) => Ended::without_answer(Status::NoAnswer),
         }
--- a/crates/http1/src/conn.rs
+++ b/crates/http1/src/conn.rs
@@ -1,6 +1,7 @@
 //! One connection of our own making, and the answers that come over it. Nothing that a server sends is believed before
 //! it fits: an answer is whole, or it may have run and brought nothing.
 
+use crate::chunked::{Chunked, Spoilt};
 use crate::message::*;
 use bytes::Bytes;
 use httparse::{Status as Parsed, EMPTY_HEADER};
@@ -29,6 +30,8 @@
     pub report: Vec<(Load, f64)>,
     /// Nothing stands behind it, and its connection stays open.
     pub reusable: bool,
+    /// More of it comes.
+    pub rest: Option<Unread>,
 }
 
 enum Head {
@@ -38,31 +41,29 @@
 
 enum Framing {
     Length(usize),
-    Chunked,
+    Chunked(Chunked),
+    /// It ends with its connection (RFC 9112 section 6.3).
+    UntilClose,
 }
 
 fn spoilt(what: &'static str) -> io::Error {
     io::Error::new(io::ErrorKind::InvalidData, what)
 }
 
-/// What an answer may be kept in. Up to `BODY_BYTES` it has a place of its own, beyond that it takes of what all share.
+/// What long requests may be kept in: each takes of what all share, and gives it back when it is dropped.
 pub struct Room {
-    most: usize,
     shared: Arc<AtomicUsize>,
     taken: usize,
 }
 
 impl Room {
-    pub fn new(most: usize, shared: Arc<AtomicUsize>) -> Self {
-        Room { most, shared, taken: 0 }
+    pub fn new(shared: Arc<AtomicUsize>) -> Self {
+        Room { shared, taken: 0 }
     }
 
-    /// Whether an answer of this length has room; it has from then on. It is there twice while it is passed on.
-    fn holds(&mut self, length: usize) -> bool {
-        if length <= BODY_BYTES || length > self.most {
-            return length <= BODY_BYTES.min(self.most);
-        }
-        let more = (2 * length).saturating_sub(self.taken);
+    /// Whether there is room for so much in all; it is taken from then on.
+    pub fn holds(&mut self, length: usize) -> bool {
+        let more = length.saturating_sub(self.taken);
         let held = self.shared.fetch_update(Relaxed, Relaxed, |left| left.checked_sub(more)).is_ok();
         self.taken += if held { more } else { 0 };
         held
@@ -75,15 +76,61 @@
     }
 }
 
-/// A long body keeps its room until nobody needs it any more.
-struct Kept {
-    body: Bytes,
-    _room: Room,
+/// What of a long answer has not been read yet.
+pub struct Unread {
+    framing: Framing,
+    /// Read, and not yet taken apart.
+    buffer: Vec<u8>,
+    /// Of its body, so far.
+    seen: usize,
 }
 
-impl AsRef<[u8]> for Kept {
-    fn as_ref(&self) -> &[u8] {
-        &self.body
+impl Unread {
+    /// How long the whole body is, where its head tells.
+    pub fn length(&self) -> Option<usize> {
+        match self.framing {
+            Framing::Length(length) => Some(length),
+            _ => None,
+        }
+    }
+
+    /// Moves what has come behind `into`; whether that was all of the body.
+    fn take(&mut self, into: &mut Vec<u8>, ended: bool) -> io::Result<bool> {
+        let before = into.len();
+        let whole = match &mut self.framing {
+            Framing::Length(length) => {
+                let left = *length - self.seen;
+                if self.buffer.len() >= left {
+                    let behind = self.buffer.split_off(left);
+                    into.append(&mut self.buffer);
+                    self.buffer = behind;
+                    // Guards against a length that is too short: what belongs to the body would stand behind it. Only
+                    // the beginning of another answer is known to be no part of this one.
+                    if !begins_answer(&self.buffer) {
+                        return Err(spoilt("longer than it says"));
+                    }
+                    true
+                } else {
+                    into.append(&mut self.buffer);
+                    false
+                }
+            }
+            Framing::Chunked(chunked) => {
+                chunked.take(&mut self.buffer, into).map_err(|Spoilt(what)| spoilt(what))?
+            }
+            Framing::UntilClose => {
+                into.append(&mut self.buffer);
+                ended
+            }
+        };
+        self.seen += into.len() - before;
+        if self.seen > BULK_BYTES {
+            return Err(spoilt("too long"));
+        }
+        if ended && !whole {
+            return Err(io::ErrorKind::UnexpectedEof.into());
+        }
+        Ok(whole)
     }
 }
 
@@ -104,57 +151,59 @@
         peek(&self.stream).is_err_and(|e| e.kind() == io::ErrorKind::WouldBlock)
     }
 
-    /// Sends a request and reads its answer, if there is room for it. `written` tells what has left, `whole` is
-    /// called once that is all.
+    /// Sends a request and reads its answer: whole, or, where its body is longer than `most`, its beginning. `written`
+    /// tells what has left, `whole` is called once that is all.
     pub async fn ask(
         &self,
-        request: &[u8],
-        mut room: Room,
+        request: [&[u8]; 2],
+        most: usize,
         written: &Cell<usize>,
         whole: impl FnOnce(),
     ) -> io::Result<Answer> {
-        write_all(&self.stream, request, written).await?;
+        let [head, body] = request;
+        if body.len() <= BODY_BYTES {
+            write_all(&self.stream, &[head, body].concat(), written).await?;
+        } else {
+            write_all(&self.stream, head, written).await?;
+            let beyond = Cell::new(0);
+            let done = write_all(&self.stream, body, &beyond).await;
+            written.set(head.len() + beyond.get());
+            done?;
+        }
         whole();
         let mut buffer = Vec::new();
         let (mut answer, framing) = self.head(&mut buffer).await?;
-        match framing {
-            Framing::Length(length) if !room.holds(length) => return Err(spoilt("too long")),
-            Framing::Length(length) => {
-                buffer.reserve_exact((length + CHUNK).saturating_sub(buffer.len()));
-                while buffer.len() < length {
-                    self.fill(&mut buffer).await?;
-                }
-                let behind = buffer.split_off(length);
-                answer.body = buffer.into();
-                // Guards against a length that is too short: what belongs to the body would stand behind it. Only
-                // the beginning of another answer is known to be no part of this one.
-                if !begins_answer(&behind) {
-                    return Err(spoilt("longer than it says"));
-                }
-                answer.reusable &= behind.is_empty();
+        if matches!(framing, Framing::Length(length) if length > BULK_BYTES) {
+            return Err(spoilt("too long"));
+        }
+        let mut unread = Unread { framing, buffer, seen: 0 };
+        let mut body = Vec::with_capacity(unread.length().unwrap_or(0).min(most + CHUNK));
+        let long = unread.length().is_some_and(|length| length > most);
+        loop {
+            if unread.take(&mut body, false)? {
+                answer.reusable &= unread.buffer.is_empty();
+                break;
             }
-            Framing::Chunked => {
-                let (body, end) = self.chunks(&mut buffer, &mut room).await?;
-                answer.body = body.into();
-                answer.reusable &= buffer.len() == end;
+            // The first bytes are enough of one that is known to be long.
+            if body.len() > most || long && !body.is_empty() {
+                answer.rest = Some(unread);
+                break;
+            }
+            if fill(&self.stream, &mut unread.buffer).await? == 0 {
+                unread.take(&mut body, true)?;
+                answer.reusable = false;
+                break;
             }
         }
-        if room.taken > 0 {
-            answer.body = Bytes::from_owner(Kept { body: answer.body, _room: room });
-        }
+        answer.body = body.into();
         Ok(answer)
     }
 
-    /// Reads what is there, once something is, as far as the buffer has space.
-    async fn fill(&self, buffer: &mut Vec<u8>) -> io::Result<()> {
-        loop {
-            self.stream.readable().await?;
-            match self.stream.try_read_buf(buffer) {
-                Ok(0) => return Err(io::ErrorKind::UnexpectedEof.into()),
-                Err(e) if e.kind() == io::ErrorKind::WouldBlock => {}
-                done => return done.map(drop),
-            }
-        }
+    /// More of a long answer, in place of what stands in `into`; whether that is the end of it.
+    pub async fn go_on(&self, unread: &mut Unread, into: &mut Vec<u8>) -> io::Result<bool> {
+        into.clear();
+        let ended = fill(&self.stream, &mut unread.buffer).await? == 0;
+        unread.take(into, ended)
     }
 
     async fn more(&self, buffer: &mut Vec<u8>) -> io::Result<()> {
@@ -185,40 +234,6 @@
             }
         }
     }
-
-    /// The body that stands in chunks from the start of the buffer, and where it ends there.
-    async fn chunks(&self, buffer: &mut Vec<u8>, room: &mut Room) -> io::Result<(Vec<u8>, usize)> {
-        let (mut body, mut at) = (Vec::new(), 0);
-        loop {
-            // Guards against chunks of next to nothing with much around them.
-            if at > 4 * body.len().max(BODY_BYTES) {
-                return Err(spoilt("too much around its chunks"));
-            }
-            match httparse::parse_chunk_size(&buffer[at..]).map_err(|_| spoilt("a chunk's size"))? {
-                Parsed::Complete((start, size)) => {
-                    let size = usize::try_from(size).unwrap_or(usize::MAX);
-                    if !room.holds(size.saturating_add(body.len())) {
-                        return Err(spoilt("too long"));
-                    }
-                    let (from, to) = (at + start, at + start + size);
-                    while buffer.len() < to + 2 {
-                        self.more(buffer).await?;
-                    }
-                    if &buffer[to..to + 2] != b"\r\n" {
-                        // A trailer, or a size that does not fit: nobody here sends either.
-                        return Err(spoilt("a chunk's end"));
-                    }
-                    body.extend_from_slice(&buffer[from..to]);
-                    at = to + 2;
-                    if size == 0 {
-                        return Ok((body, at));
-                    }
-                }
-                Parsed::Partial if buffer.len() - at > CHUNK => return Err(spoilt("a chunk's size")),
-                Parsed::Partial => self.more(buffer).await?,
-            }
-        }
-    }
 }
 
 /// Nothing, or the beginning of an answer.
@@ -249,7 +264,10 @@
     let framing = match (length, &codings[..]) {
         (Some(length), []) => Framing::Length(length),
         (None, []) if status == 204 || status == 304 => Framing::Length(0),
-        (None, [coding]) if coding.trim().eq_ignore_ascii_case("chunked") => Framing::Chunked,
+        (None, [coding]) if coding.trim().eq_ignore_ascii_case("chunked") => {
+            Framing::Chunked(Chunked::default())
+        }
+        (None, []) if status == 200 && says_close(h) => Framing::UntilClose,
         // Neither or both: where it ends cannot be known.
         _ => return Err(spoilt("its framing")),
     };
@@ -260,6 +278,7 @@
         metered_use: header(h, USED).and_then(figure).map(|percent| percent / 100.0),
         report: header(h, LOAD).map_or_else(Vec::new, report),
         reusable: head.version == Some(1) && !says_close(h),
+        rest: None,
     };
     Ok(Some((Head::Final(answer, framing), end)))
 }
--- a/crates/http1/src/front.rs
+++ b/crates/http1/src/front.rs
@@ -1,11 +1,15 @@
 //! The clients' side: reads and checks requests, and gives each its one answer. Strict: what a client of ours never
 //! sends is an error and the end of its connection, before anything else hears of it.
 
-use crate::backend::{Forward, Outgoing, Upstream};
+use crate::backend::{Forward, Outgoing, Passing, Upstream};
+use crate::chunked::Chunked;
+use crate::conn::Room;
 use crate::message::*;
+use bytes::Bytes;
 use frosthatch_engine::{Answer, Arrival, Duplicate, Engine, Outcome, Protocol, Ruled, Rules, Ruling};
 use httparse::{Header, Status as Parsed, EMPTY_HEADER};
 use socket2::SockRef;
+use std::any::Any;
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::fmt::Write;
@@ -21,7 +25,13 @@
 
 /// A request is whole this long after its first byte, the first of a connection this long after it was accepted:
 /// an error or a close is owed within 3 s.
-const WHOLE_WITHIN: Duration = Duration::from_secs(2);
+const WHOLE_WITHIN: Duration = Duration::from_millis(2_500);
+/// A body is whole this long after its head, and longer by what has come of it at the slowest: clients of ours send at
+/// twice that.
+const BODY_WITHIN: Duration = Duration::from_secs(2);
+const SLOWEST: f64 = 32_000.0;
+/// Either side of a long answer may make the other wait for so long.
+const STALLS: Duration = Duration::from_secs(10);
 /// A connection that has served is kept open for so long without a request.
 const KEPT: Duration = Duration::from_secs(5);
 /// When descriptors run short a connection that has served may be closed after this: a request that crosses the close is
@@ -254,7 +264,13 @@
                 },
             };
             let close = asked.close || self.ends_connections();
-            if !client.write(&answer.text(close, &added)).await || close {
+            let written = match answer {
+                Reply::Answer(Answer::Passing(first, rest)) => {
+                    self.pass_on(&client, first, rest, close, asked.old, &added).await
+                }
+                answer => client.write(&answer.text(close, &added)).await,
+            };
+            if !written || close {
                 return;
             }
         }
@@ -297,13 +313,35 @@
                     false => None,
                 };
                 looked_at = buffer.len();
+                if let Some(head) = &head {
+                    buffer.drain(..head.end);
+                    by = Instant::now() + BODY_WITHIN;
+                }
             }
-            if let Some(head) = head.take_if(|h| buffer.len() >= h.end + h.length) {
-                return Ok(Some(head.with_body(buffer)));
+            if let Some(head) = &mut head {
+                if self.take_body(head, buffer)? {
+                    return Ok(Some(head.asked()));
+                }
+                if std::mem::take(&mut head.expects) && !client.write(b"HTTP/1.1 100 Continue\r\n\r\n").await
+                {
+                    return Ok(None);
+                }
             }
             let over = || if begun { Err(BadRequest::Slow) } else { Ok(None) };
+            // A body may take longer the more of it has come, and rests no longer than a head.
+            let by = head.as_ref().map_or(by, |h| {
+                let so_far = Duration::from_secs_f64(h.body.len() as f64 / SLOWEST);
+                (by + so_far).min(Instant::now() + BODY_WITHIN)
+            });
+            let in_body = head.is_some();
+            let read = async {
+                match in_body {
+                    true => fill(&client.stream, &mut client.buffer).await,
+                    false => read_more(&client.stream, &mut client.buffer).await,
+                }
+            };
             tokio::select! {
-                read = read_more(&client.stream, buffer) => if matches!(read, Ok(0) | Err(_)) {
+                read = read => if matches!(read, Ok(0) | Err(_)) {
                     return Ok(None);
                 },
                 // What has come meanwhile is read first.
@@ -315,9 +353,38 @@
         }
     }
 
+    /// Moves what has come of a body to where it is kept; whether that was all.
+    fn take_body(&self, head: &mut Head, buffer: &mut Vec<u8>) -> Result<bool, BadRequest> {
+        if head.body.capacity() - head.body.len() < buffer.len() {
+            head.body.reserve_exact(buffer.len().max(4 * CHUNK));
+        }
+        let whole = match &mut head.framing {
+            BodyFraming::Length(length) => {
+                let n = (*length - head.body.len()).min(buffer.len());
+                head.body.extend(buffer.drain(..n));
+                head.body.len() == *length
+            }
+            BodyFraming::Chunked(chunked) => {
+                chunked.take(buffer, &mut head.body).map_err(|_| BadRequest::Malformed)?
+            }
+        };
+        if head.body.len() > BULK_BYTES {
+            return Err(BadRequest::BodyTooLong);
+        }
+        if head.body.len() > BODY_BYTES {
+            let room = head.room.get_or_insert_with(|| self.upstream.room());
+            if !room.holds(head.body.capacity()) {
+                if let Some(ask) = &head.ask {
+                    self.engine.tally().ended(ask.forward.class, Outcome::Refused);
+                }
+                return Err(BadRequest::NoRoom);
+            }
+        }
+        Ok(whole)
+    }
+
     /// Reads and checks a whole head, before anything is kept for it.
     fn head(&self, buffer: &[u8]) -> Result<Head, BadRequest> {
-        let received = Instant::now();
         let mut headers = [EMPTY_HEADER; HEADERS];
         let mut request = httparse::Request::new(&mut headers);
         let end = match request.parse(buffer) {
@@ -332,16 +399,29 @@
         let h = &*request.headers;
         // Guards against a request hidden in the body of another: where this one ends must be beyond doubt. Clients
         // send a length, and once.
-        if header(h, "transfer-encoding").is_some() {
-            return Err(BadRequest::Header("Transfer-Encoding"));
-        }
-        let length = content_length(h).map_err(|()| BadRequest::Header("Content-Length"))?.unwrap_or(0);
-        if length > BODY_BYTES {
+        let old = request.version != Some(1);
+        let length = content_length(h).map_err(|()| BadRequest::Header("Content-Length"))?;
+        let mut codings = h.iter().filter(|h| h.name.eq_ignore_ascii_case("transfer-encoding"));
+        let framing = match (length, codings.next(), codings.next()) {
+            (length, None, _) => BodyFraming::Length(length.unwrap_or(0)),
+            (None, Some(coding), None)
+                if !old && coding.value.trim_ascii().eq_ignore_ascii_case(b"chunked") =>
+            {
+                BodyFraming::Chunked(Chunked::default())
+            }
+            _ => return Err(BadRequest::Header("Transfer-Encoding")),
+        };
+        if length.is_some_and(|length| length > BULK_BYTES) {
             return Err(BadRequest::BodyTooLong);
         }
-        let close = request.version != Some(1) || says_close(h);
-        if path == "/ready" && length == 0 {
-            return Ok(Head { end, length, close, ask: None });
+        let close = old || says_close(h);
+        let bare = matches!(framing, BodyFraming::Length(0));
+        let expects = !old
+            && !bare
+            && header(h, "expect").is_some_and(|e| e.trim().eq_ignore_ascii_case("100-continue"));
+        let (body, room) = (Vec::new(), None);
+        if path == "/ready" && bare {
+            return Ok(Head { end, framing, body, room, expects, close, old, ask: None });
         }
         let set = &self.settings;
         let first = path.strip_prefix('/').and_then(|p| p.split(['/', '?']).next());
@@ -356,7 +436,7 @@
         if method != if safe { "GET" } else { "POST" } {
             return Err(BadRequest::Method);
         }
-        if safe && length > 0 {
+        if safe && !bare {
             return Err(BadRequest::Header("Content-Length"));
         }
         let trace = text(h, "X-Trace-Id")?;
@@ -373,7 +453,7 @@
         let mut head = format!("{method} {path} HTTP/1.1\r\nHost: {host}\r\nX-Trace-Id: {trace}\r\n");
         if !safe {
             let key = text(h, "Idempotency-Key")?;
-            let _ = write!(head, "Idempotency-Key: {key}\r\nContent-Length: {length}\r\n");
+            let _ = write!(head, "Idempotency-Key: {key}\r\n");
         }
         if let Ok(kind) = text(h, "Content-Type") {
             let _ = write!(head, "Content-Type: {kind}\r\n");
@@ -397,10 +477,66 @@
             wants.0.iter().filter_map(named).collect()
         });
         // Nobody waits past the class's deadline, whatever the header says: what is kept for a request is short-lived.
-        let gone_at = received + patience.min(Duration::from_micros(class.deadline_us));
+        let patience = patience.min(Duration::from_micros(class.deadline_us));
         let class = self.engine.tally().class(&class.name);
-        let forward = Forward { head: head.into(), body: Vec::new(), class };
-        Ok(Head { end, length, close, ask: Some(Box::new(Ask { request, gone_at, forward, shown })) })
+        let forward = Forward { head: head.into(), body: Vec::new(), room: None, class };
+        // Counted from the last byte, which comes later.
+        let gone_at = Instant::now();
+        let ask = Some(Box::new(Ask { request, patience, gone_at, safe, forward, shown }));
+        Ok(Head { end, framing, body, room, expects, close, old, ask })
+    }
+
+    /// Passes a long answer on as it comes; whether all of it was. Cut short, it has no end that a client could take for
+    /// one: its length is not reached, or the last chunk is missing.
+    async fn pass_on(
+        &self,
+        client: &Client,
+        first: Bytes,
+        rest: Box<dyn Any>,
+        close: bool,
+        old: bool,
+        added: &str,
+    ) -> bool {
+        let Ok(mut passing) = rest.downcast::<Passing>() else { return false };
+        let length = passing.unread.length();
+        let chunked = length.is_none() && !old;
+        let framing = match length {
+            Some(length) => format!("Content-Length: {length}\r\n"),
+            None if chunked => "Transfer-Encoding: chunked\r\n".into(),
+            None => String::new(),
+        };
+        let closes = if close { "Connection: close\r\n" } else { "" };
+        let mut out = format!("HTTP/1.1 200 OK\r\n{added}{closes}{framing}\r\n").into_bytes();
+        let (mut part, mut ended) = (first.to_vec(), false);
+        loop {
+            if !part.is_empty() {
+                if chunked {
+                    out.extend(format!("{:x}\r\n", part.len()).into_bytes());
+                }
+                out.append(&mut part);
+                if chunked {
+                    out.extend_from_slice(b"\r\n");
+                }
+            }
+            if ended && chunked {
+                out.extend_from_slice(b"0\r\n\r\n");
+            }
+            let written = timeout(STALLS, write_all(&client.stream, &out, &Cell::new(0))).await;
+            if !matches!(written, Ok(Ok(()))) {
+                return false;
+            }
+            if ended {
+                self.upstream.passed(*passing);
+                return true;
+            }
+            out.clear();
+            let Passing { unread, conn, .. } = &mut *passing;
+            match timeout(STALLS, conn.go_on(unread, &mut part)).await {
+                Ok(Ok(whole)) => ended = whole,
+                // Spoilt, cut short or silent.
+                _ => return false,
+            }
+        }
     }
 
     /// The same by the operator's rules, if there are any for it; `added` takes header lines for the answer.
@@ -456,7 +592,7 @@
 
     /// The answer to a request; none if its client goes first.
     async fn answer(&self, client: &mut Client, ask: Ask) -> Result<Option<Answer>, BadRequest> {
-        let Ask { request, gone_at, forward, shown: _ } = ask;
+        let Ask { request, gone_at, forward, .. } = ask;
         let id = request.id;
         let payload = Box::new(Outgoing { forward: Rc::new(forward), upstream: self.upstream.clone() });
         let taken = self.engine.take(Arrival { request, gone_at, payload });
@@ -491,7 +627,7 @@
 
     /// Says what is wrong and ends the connection, so that nothing behind it is read as a request.
     async fn turn_away(mut self, bad: &BadRequest) {
-        if !self.write(&response(bad.status(), "", true, bad.text().as_bytes())).await {
+        if !self.write(&response(bad.status(), bad.headers(), true, bad.text().as_bytes())).await {
             return;
         }
         let _ = SockRef::from(&self.stream).shutdown(std::net::Shutdown::Write);
@@ -512,7 +648,12 @@
 /// A request for a server.
 struct Ask {
     request: turndeck::Request,
+    /// For so long the client waits, from its last byte on...
+    patience: Duration,
+    /// ...which is until then.
     gone_at: Instant,
+    /// It has no body.
+    safe: bool,
     forward: Forward,
     /// Headers that the operator's rules want to see.
     shown: Vec<(String, String)>,
@@ -523,25 +664,44 @@
     ask: Option<Box<Ask>>,
     /// The client wants the connection to end.
     close: bool,
+    /// It reads no chunks.
+    old: bool,
 }
 
-/// A head that is in order, where it ends in the buffer and how long the body behind it is.
+/// How it can be told where a request's body ends.
+enum BodyFraming {
+    Length(usize),
+    Chunked(Chunked),
+}
+
+/// A head that is in order, where it ends in the buffer, and the body behind it as far as it has come.
 struct Head {
     end: usize,
-    length: usize,
+    framing: BodyFraming,
+    body: Vec<u8>,
+    room: Option<Room>,
+    /// The client waits for a word before it sends the body (RFC 9110 section 10.1.1).
+    expects: bool,
     close: bool,
+    /// It reads no chunks.
+    old: bool,
     ask: Option<Box<Ask>>,
 }
 
 impl Head {
-    /// Takes head and body off the buffer.
-    fn with_body(mut self, buffer: &mut Vec<u8>) -> Asked {
-        let behind = buffer.split_off(self.end + self.length);
-        if let Some(ask) = &mut self.ask {
-            ask.forward.body = buffer.split_off(self.end);
+    /// The request, now that its body is whole: its client's time counts from here.
+    fn asked(&mut self) -> Asked {
+        let mut ask = self.ask.take();
+        if let Some(ask) = &mut ask {
+            ask.gone_at = Instant::now() + ask.patience;
+            if !ask.safe {
+                // As a length, whatever form it came in.
+                ask.forward.head.extend(format!("Content-Length: {}\r\n", self.body.len()).into_bytes());
+            }
+            ask.forward.body = std::mem::take(&mut self.body);
+            ask.forward.room = self.room.take();
         }
-        *buffer = behind;
-        Asked { ask: self.ask, close: self.close }
+        Asked { ask, close: self.close, old: self.old }
     }
 }
 
@@ -597,6 +757,8 @@
     Method,
     Header(&'static str),
     BodyTooLong,
+    /// Long bodies have taken all that there is for them.
+    NoRoom,
     Slow,
     Duplicate,
 }
@@ -609,11 +771,19 @@
             BadRequest::Path => "404 Not Found",
             BadRequest::Method => "405 Method Not Allowed",
             BadRequest::BodyTooLong => "413 Content Too Large",
+            BadRequest::NoRoom => "503 Service Unavailable",
             BadRequest::Slow => "408 Request Timeout",
             BadRequest::Duplicate => "409 Conflict",
         }
     }
 
+    fn headers(&self) -> &'static str {
+        match self {
+            BadRequest::NoRoom => "Retry-After: 1\r\n",
+            _ => "",
+        }
+    }
+
     fn text(&self) -> String {
         match self {
             BadRequest::Malformed => "the request cannot be read".into(),
@@ -622,6 +792,7 @@
             BadRequest::Method => "not the class's method".into(),
             BadRequest::Header(name) => format!("{name} is missing or makes no sense"),
             BadRequest::BodyTooLong => "the body is too long".into(),
+            BadRequest::NoRoom => "no room for long requests now".into(),
             BadRequest::Slow => "the request came too slowly".into(),
             BadRequest::Duplicate => "a request with this id is open".into(),
         }
@@ -661,7 +832,9 @@
             Reply::Answer(Answer::Failed { timed_out: true }) => {
                 response("504 Gateway Timeout", added, close, b"failed")
             }
-            Reply::Answer(Answer::Failed { .. }) => response("502 Bad Gateway", added, close, b"failed"),
+            Reply::Answer(Answer::Failed { .. } | Answer::Passing(..)) => {
+                response("502 Bad Gateway", added, close, b"failed")
+            }
         }
     }
 }
--- a/crates/http1/src/lib.rs
+++ b/crates/http1/src/lib.rs
@@ -3,6 +3,7 @@
 #![forbid(unsafe_code)]
 
 pub mod backend;
+mod chunked;
 pub mod conn;
 pub mod front;
 mod message;
--- a/crates/http1/src/message.rs
+++ b/crates/http1/src/message.rs
@@ -9,6 +9,8 @@
 
 /// Bodies hold at most this, by what was agreed.
 pub const BODY_BYTES: usize = 64 << 10;
+/// Longer bodies come, up to this, in either direction.
+pub const BULK_BYTES: usize = 32 << 20;
 /// A head that is longer makes no sense, in either direction.
 pub const HEAD_BYTES: usize = 16 << 10;
 /// Nor does one with more headers.
@@ -32,6 +34,20 @@
     }
 }
 
+/// The same with room for as much as comes at once where much does.
+pub async fn fill(stream: &TcpStream, into: &mut Vec<u8>) -> io::Result<usize> {
+    if into.capacity() - into.len() < CHUNK {
+        into.reserve_exact(4 * CHUNK);
+    }
+    loop {
+        stream.readable().await?;
+        match stream.try_read_buf(into) {
+            Err(e) if e.kind() == io::ErrorKind::WouldBlock => {}
+            done => return done,
+        }
+    }
+}
+
 /// Whether something can be read at once, by the socket itself: what the runtime knows of it may be of some time ago.
 pub fn peek(stream: &TcpStream) -> io::Result<usize> {
     SockRef::from(stream).peek(&mut [MaybeUninit::uninit(); 1])
--- a/crates/membership/src/list.rs
+++ b/crates/membership/src/list.rs
@@ -2,13 +2,11 @@
 
 use crate::source::Desk;
 use frosthatch_engine::{Member, Protocol, State};
-use frosthatch_http1::conn::{Conn, Room};
+use frosthatch_http1::conn::Conn;
 use serde::{Deserialize, Deserializer};
 use std::cell::Cell;
 use std::fmt;
 use std::net::SocketAddr;
-use std::sync::atomic::AtomicUsize;
-use std::sync::Arc;
 use std::time::Duration;
 use tokio::time::{sleep, timeout};
 use turndeck::ListKind;
@@ -107,6 +105,7 @@
     Io(std::io::Error),
     Status(u16),
     Malformed(serde_json::Error),
+    TooLong,
 }
 
 impl fmt::Display for CallError {
@@ -115,6 +114,7 @@
             CallError::Silent => write!(f, "no answer"),
             CallError::Io(e) => write!(f, "{e}"),
             CallError::Status(s) => write!(f, "status {s}"),
+            CallError::TooLong => write!(f, "a list of more than {LIST_BYTES} bytes"),
             CallError::Malformed(e) => write!(f, "malformed list: {e}"),
         }
     }
@@ -160,8 +160,11 @@
         None => Conn::open(address).await.map_err(CallError::Io)?,
     };
     let request = format!("GET {path} HTTP/1.1\r\nHost: {address}\r\n\r\n");
-    let room = Room::new(LIST_BYTES, Arc::new(AtomicUsize::new(2 * LIST_BYTES)));
-    let answer = open.ask(request.as_bytes(), room, &Cell::new(0), || ()).await.map_err(CallError::Io)?;
+    let answer =
+        open.ask([request.as_bytes(), b""], LIST_BYTES, &Cell::new(0), || ()).await.map_err(CallError::Io)?;
+    if answer.rest.is_some() {
+        return Err(CallError::TooLong);
+    }
     if answer.reusable {
         *conn = Some(open);
     }
--- a/crates/plugins/src/host.rs
+++ b/crates/plugins/src/host.rs
@@ -336,7 +336,7 @@
     fn answered(self: Rc<Self>, ruling: &Ruling, answer: &Answer, took: Duration) -> Option<Later<String>> {
         let (chosen, shown) = self.chosen(ruling, |h| h.answer)?;
         let outcome = match answer {
-            Answer::Served(_) => Outcome::Served,
+            Answer::Served(_) | Answer::Passing(..) => Outcome::Served,
             Answer::Refused { .. } => Outcome::Refused,
             Answer::Failed { .. } => Outcome::Failed,
         };
--- a/crates/standins/src/http.rs
+++ b/crates/standins/src/http.rs
@@ -40,6 +40,11 @@
             _ if message.line.is_empty() => message.line = text.into(),
             Some((name, value)) => message.headers.push((name.into(), value.trim().into())),
             None => {
+                if message.header("transfer-encoding") == Some("chunked") {
+                    let body = read_chunks(from)?;
+                    message.body = String::from_utf8_lossy(&body).into();
+                    return Some(message);
+                }
                 let length = message.header("content-length").map_or(0, |v| v.parse().unwrap_or(0));
                 let mut body = vec![0; length];
                 from.read_exact(&mut body).ok()?;
@@ -52,6 +57,22 @@
     None
 }
 
+/// A body in chunks, without extensions or trailers; none if it is cut short.
+fn read_chunks(from: &mut impl BufRead) -> Option<Vec<u8>> {
+    let mut body = Vec::new();
+    loop {
+        let mut line = String::new();
+        from.read_line(&mut line).ok()?;
+        let size = usize::from_str_radix(line.trim_end(), 16).ok()?;
+        let mut chunk = vec![0; size + 2];
+        from.read_exact(&mut chunk).ok()?;
+        body.extend_from_slice(&chunk[..size]);
+        if size == 0 {
+            return Some(body);
+        }
+    }
+}
+
 /// What a stand-in server does with a request.
 pub enum Reply {
     /// These bytes, then the next request.
