--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -12,6 +12,7 @@
 mod plugins;
 mod servers;
 mod site;
+mod upgrade;
 
 use clap::{Parser, Subcommand};
 use figures::Figures;
@@ -48,7 +49,7 @@
 type Play = fn(Option<u64>, &mut Figures);
 
 /// The scenarios: name, what each shows, and how it is played.
-const SCENARIOS: [(&str, &str, Play); 5] = [
+const SCENARIOS: [(&str, &str, Play); 6] = [
     ("dns-sd", "500 requests/s while DNS-SD records change, asked for and pushed", dns_sd::play),
     (
         "diameter",
@@ -61,6 +62,7 @@
         counter_faults::play,
     ),
     ("plugins", "a stuck plug-in beside 500 requests/s, and what plug-ins cost", plugins::play),
+    ("upgrade", "500 requests/s while processes are replaced, half of the starts failing", upgrade::play),
     ("membership-size", "what a change and a request cost at 10 to 5,000 servers", membership_size::play),
 ];
 
--- a/crates/lab/src/site.rs
+++ b/crates/lab/src/site.rs
@@ -116,10 +116,15 @@
 
     /// Starts the real program; what it logs goes to standard error.
     pub fn start(&self, operator: Option<&Path>) -> Gateway {
+        self.start_with_log(operator, |line| eprintln!("gateway: {line}"))
+    }
+
+    /// The same; what it logs goes line by line to `log`.
+    pub fn start_with_log(&self, operator: Option<&Path>, log: impl Fn(&str) + Send + 'static) -> Gateway {
         let words =
             operator.map_or_else(Vec::new, |f| vec!["--operator".to_string(), f.display().to_string()]);
         let words: Vec<&str> = words.iter().map(String::as_str).collect();
-        let gateway = Gateway::start_with_log(&self.config(), &words, |line| eprintln!("gateway: {line}"));
+        let gateway = Gateway::start_with_log(&self.config(), &words, log);
         until("a gateway gets ready", || gateway.ready());
         gateway
     }
--- /dev/null
+++ b/crates/lab/src/upgrade.rs
@@ -0,0 +1,130 @@
+//! `upgrade`: 500 requests a second while processes are replaced; every second start fails, at one step after another.
+
+use crate::figures::Figures;
+use crate::load::{percentile, Got, Load, Shot};
+use crate::servers::Server;
+use crate::site::{pause, Node, OperatorFile};
+use frosthatch_handover::message::{Message, VERSION};
+use frosthatch_standins::{target, Discovery, Gateway, LONG};
+use std::io::{Read, Write};
+use std::os::unix::net::UnixStream;
+use std::path::{Path, PathBuf};
+use std::sync::mpsc::{channel, Receiver};
+use std::time::{Duration, Instant};
+use tokio::runtime::Runtime;
+
+const PER_S: f64 = 500.0;
+const UPGRADES: usize = 50;
+/// A start that succeeds takes as long as the old process may hold an answer, and one that fails next to nothing.
+const LENGTH: Duration = Duration::from_secs(90);
+/// Requests due so shortly before or after a switch are its own.
+const ROUND: Duration = Duration::from_millis(500);
+
+struct Process {
+    gateway: Gateway,
+    lines: Receiver<String>,
+}
+
+impl Process {
+    fn start(node: &Node, operator: &Path) -> Process {
+        let (tell, lines) = channel();
+        let gateway = node.start_with_log(Some(operator), move |line| {
+            eprintln!("gateway: {line}");
+            let _ = tell.send(line.to_string());
+        });
+        Process { gateway, lines }
+    }
+
+    fn says(&self, what: &str) {
+        while !self.lines.recv_timeout(LONG).unwrap_or_else(|_| panic!("{what:?} is logged")).contains(what) {
+        }
+    }
+}
+
+/// A new process that goes away at one of the steps.
+fn fails(socket: &Path, step: usize, old: &Process) {
+    let mut link = loop {
+        let mut link = UnixStream::connect(socket).expect("the running process is called");
+        link.set_read_timeout(Some(LONG)).expect("a time-out");
+        if step == 0 {
+            return;
+        }
+        link.write_all(&Message::Hello { version: VERSION, pid: 0 }.framed()).expect("written");
+        let mut said = [0; 1_024];
+        let read = link.read(&mut said).unwrap_or(0);
+        // The one before is not yet noticed to have gone.
+        if String::from_utf8_lossy(&said[..read]).contains("Welcome") {
+            break link;
+        }
+        pause(Duration::from_millis(20));
+    };
+    if step == 2 {
+        link.write_all(&Message::Ready.framed()).expect("written");
+        old.says("the new process accepts");
+    }
+    drop(link);
+    old.says("the new process has gone");
+}
+
+pub fn play(seconds: Option<u64>, figures: &mut Figures) {
+    let length = seconds.map_or(LENGTH, Duration::from_secs);
+    let runtime = Runtime::new().expect("a runtime");
+    let servers: Vec<Server> = (0..8).map(|_| Server::start(runtime.handle(), false)).collect();
+    let list: Vec<String> =
+        servers.iter().enumerate().map(|(n, s)| target(&format!("s{n}"), s.address, 1, "Ready")).collect();
+    let agent = Discovery::new(&list.join(","));
+    let socket: PathBuf = std::env::temp_dir().join(format!("frosthatch-lab-{}.sock", std::process::id()));
+    let operator = OperatorFile::new(&format!("[upgrade]\nsocket = \"{}\"\n", socket.display()));
+    let node =
+        Node { gateways: 1, me: 0, discovery: agent.address, counter: None, sockets: 1_024, memory_mb: 192 };
+    let mut running = Process::start(&node, operator.path());
+    let there = |socket: &Path| UnixStream::connect(socket).is_ok();
+    crate::site::until("the socket is there", || there(&socket));
+    let (load, task) = Load::start(runtime.handle(), vec![running.gateway.address], PER_S, length);
+    let begun = Instant::now();
+    let (mut switches, mut failed) = (Vec::new(), 0);
+    pause(Duration::from_secs(1));
+    for n in 0..UPGRADES {
+        // The last one is over before the load is.
+        if begun.elapsed() + Duration::from_secs(4) > length {
+            break;
+        }
+        if n % 2 == 1 {
+            fails(&socket, failed % 3, &running);
+            failed += 1;
+            continue;
+        }
+        let new = Process::start(&node, operator.path());
+        running.says("the new process accepts");
+        switches.push(begun.elapsed());
+        running.gateway.terminate();
+        assert!(running.gateway.wait().success(), "the old process ends well");
+        new.says("the old process has ended");
+        crate::site::until("the next can call", || there(&socket));
+        running = new;
+    }
+    runtime.block_on(async { drop(task.await) });
+    let shots = load.shots.lock().expect("shots");
+    let count = |is: fn(&Shot) -> bool| shots.iter().filter(|s| is(s)).count() as f64;
+    figures.show("requests", shots.len() as f64, "requests");
+    figures.at_least(
+        "switches",
+        switches.len() as f64,
+        "upgrades",
+        if seconds.is_some() { 1.0 } else { 25.0 },
+    );
+    figures.show("failed_starts", failed as f64, "upgrades");
+    figures.at_most("unanswered_or_reset", count(|s| s.got == Got::Nothing), "requests", 0.0);
+    figures.at_most("answered_twice_or_wrong", count(|s| s.got == Got::Wrong), "requests", 0.0);
+    figures.at_most("failed", count(|s| s.got == Got::Failed), "requests", 0.0);
+    let in_time = count(|s| s.got == Got::Served && s.took <= s.wanted) / shots.len() as f64;
+    figures.at_least("in_time", in_time, "share", 0.99);
+    let near = |s: &&Shot| switches.iter().any(|&at| s.due + ROUND > at && s.due < at + ROUND);
+    let (at, else_): (Vec<&Shot>, Vec<&Shot>) = shots.iter().partition(near);
+    let p99 = |of: Vec<&Shot>| percentile(&mut of.iter().map(|s| s.took).collect::<Vec<_>>(), 0.99);
+    let (at, else_) = (p99(at), p99(else_));
+    figures.show("p99_round_switches", at, "ms");
+    figures.show("p99_else", else_, "ms");
+    figures.at_most("p99_ratio", at / else_, "x", 2.0);
+    let _ = std::fs::remove_file(&socket);
+}
