Handover and marks: one way each to hear the link, tell a mark, halve the limits

Found on reading: the end of the link was told apart in three places, a mark was turned into its told form in two and found by copying all marks, the bound on socket paths stood in two files, limits were kept twice to halve them, and what to tell of a marked server was worked out in three places. Each stands once now; Door::prepared, which only asked the engine, is gone.

--- a/crates/console/src/driver.rs
+++ b/crates/console/src/driver.rs
@@ -65,8 +65,7 @@
         open.set(open.get() + 1);
         let (desk, waiting, open) = (desk.clone(), waiting.clone(), open.clone());
         spawn_local(async move {
-            let answered = Rc::new(Cell::new(false));
-            let one = one_call(stream, desk, || drop(waiting.borrow_mut().remove(&number)), answered);
+            let one = one_call(stream, desk, || drop(waiting.borrow_mut().remove(&number)));
             tokio::select! {
                 _ = timeout(ENDS_WITHIN, one) => {}
                 () = end.notified() => {}
@@ -78,8 +77,9 @@
 }
 
 /// One call, and the end of its connection.
-async fn one_call(stream: TcpStream, desk: Rc<dyn Desk>, came: impl Fn(), answered: Rc<Cell<bool>>) {
+async fn one_call(stream: TcpStream, desk: Rc<dyn Desk>, came: impl Fn()) {
     let _ = stream.set_nodelay(true);
+    let answered = Cell::new(false);
     let serve = service_fn(|request: Request<Incoming>| {
         came();
         // Never a second call, whatever the client pipelines.
--- a/crates/frosthatch/src/console.rs
+++ b/crates/frosthatch/src/console.rs
@@ -1,9 +1,9 @@
 //! What operators' calls do, and the figures that they are shown.
 
+use crate::handover::as_told;
 use frosthatch_console::{Class, Desk, Figures};
 use frosthatch_engine::Engine;
 use frosthatch_handover::driver::{Here, Tell};
-use frosthatch_handover::message;
 use frosthatch_http1::front::Door;
 use frosthatch_membership as membership;
 use std::cell::Cell;
@@ -21,10 +21,8 @@
 
 impl Console {
     fn marked(&self, id: &str, known: bool) -> bool {
-        let mark = self.servers.marks().into_iter().find(|(uid, _)| uid == id);
-        if let (Some(tell), Some((server, mark))) = (&self.tell, mark) {
-            let mark = message::Mark { server, out_ms: mark.out_ms, back_ms: mark.back_ms };
-            if tell.try_send(Here::Marked(mark)).is_err() {
+        if let (Some(tell), Some(mark)) = (&self.tell, self.servers.mark(id)) {
+            if tell.try_send(Here::Marked(as_told(id.into(), mark))).is_err() {
                 eprintln!("upgrade: a mark on {id} was not told to the other process");
             }
         }
--- a/crates/frosthatch/src/handover.rs
+++ b/crates/frosthatch/src/handover.rs
@@ -1,7 +1,8 @@
 //! What of the gateway goes over to a new process, and what it does meanwhile.
 
 use crate::node::Config;
-use crate::operator::Operator;
+use crate::operator::{Operator, SOCKET_PATH_BYTES};
+use frosthatch_engine::Engine;
 use frosthatch_handover::driver::{Here, Host, Tell};
 use frosthatch_handover::message::{Mark, State};
 use frosthatch_http1::backend::Upstream;
@@ -16,8 +17,6 @@
 
 /// The clients' listener, as it is called between the processes.
 pub const CLIENTS: &str = "clients";
-/// Longer paths are none of Unix sockets.
-const SOCKET_PATH_BYTES: usize = 90;
 
 /// Where this gateway's processes meet: where the operator's file says, or in the folder that the platform lets them
 /// share where it replaces processes, which is where it has a place for operators' calls.
@@ -39,10 +38,9 @@
     socket.listen(1_024)
 }
 
-/// How many connections clients and servers may have, of all and of half of the limits.
-pub struct Shares {
-    pub clients: [usize; 2],
-    pub to_servers: [usize; 2],
+/// A mark as the processes tell it.
+pub fn as_told(server: String, mark: membership::Mark) -> Mark {
+    Mark { server, out_ms: mark.out_ms, back_ms: mark.back_ms }
 }
 
 pub struct Process {
@@ -50,7 +48,9 @@
     pub door: Rc<Door>,
     pub upstream: Rc<Upstream>,
     pub servers: Rc<membership::Desk>,
-    pub shares: Shares,
+    /// Connections that clients may have, and those to servers, by all of the limits.
+    pub clients: usize,
+    pub to_servers: usize,
     /// Told when this process is to end.
     pub ends: Rc<Notify>,
 }
@@ -63,13 +63,13 @@
 
     fn state(&self) -> State {
         let marks = self.servers.marks().into_iter();
-        let marks = marks.map(|(server, m)| Mark { server, out_ms: m.out_ms, back_ms: m.back_ms });
-        State { marks: marks.collect() }
+        State { marks: marks.map(|(server, mark)| as_told(server, mark)).collect() }
     }
 
     fn halve(&self, half: bool) {
-        self.door.hold_to(self.shares.clients[usize::from(half)]);
-        self.upstream.hold_to(self.shares.to_servers[usize::from(half)]);
+        let of = |all: usize| if half { all / 2 } else { all };
+        self.door.hold_to(of(self.clients));
+        self.upstream.hold_to(of(self.to_servers));
     }
 
     fn accept(&self, yes: bool) {
@@ -87,8 +87,8 @@
 }
 
 /// Tells once the gateway can serve.
-pub async fn tell_prepared(door: Rc<Door>, tell: Tell) {
-    while !door.prepared() {
+pub async fn tell_prepared(engine: Rc<Engine>, tell: Tell) {
+    while !engine.ready() {
         tokio::time::sleep(Duration::from_millis(5)).await;
     }
     let _ = tell.send(Here::Prepared).await;
--- a/crates/frosthatch/src/operator.rs
+++ b/crates/frosthatch/src/operator.rs
@@ -116,7 +116,7 @@
 }
 
 /// Paths of Unix sockets hold no more, with what is added while one is made.
-const SOCKET_PATH_BYTES: usize = 90;
+pub const SOCKET_PATH_BYTES: usize = 90;
 
 fn upgrade(r: &mut Reader, mut s: Section, folder: &Path) -> Option<PathBuf> {
     let right = format!("write a path of at most {SOCKET_PATH_BYTES} bytes");
--- a/crates/frosthatch/src/serve.rs
+++ b/crates/frosthatch/src/serve.rs
@@ -176,17 +176,15 @@
     let mut tell = None;
     let given_up = Rc::new(Notify::new());
     if let Some(path) = meeting_place {
-        let halves = |n: usize| [n, n / 2];
-        let shares = handover::Shares { clients: halves(clients), to_servers: halves(to_servers) };
-        let (door, upstream, servers) = (door.clone(), upstream.clone(), servers.clone());
-        let (clients, ends) = (door.clone(), given_up.clone());
-        let host = Rc::new(handover::Process { listener, door: clients, upstream, servers, shares, ends });
+        let (door, servers, ends) = (door.clone(), servers.clone(), given_up.clone());
+        let host =
+            Rc::new(handover::Process { listener, door, upstream, servers, clients, to_servers, ends });
         if let Some(inherited) = &inherited {
             host.halve(true);
             inherited.state.marks.iter().for_each(|mark| host.mark(mark.clone()));
         }
         let (teller, here) = upgrade::telling();
-        spawn_local(handover::tell_prepared(door, teller.clone()));
+        spawn_local(handover::tell_prepared(engine.clone(), teller.clone()));
         spawn_local(upgrade::run(path, inherited, host, here));
         tell = Some(teller);
     }
--- a/crates/handover/src/driver.rs
+++ b/crates/handover/src/driver.rs
@@ -95,10 +95,7 @@
             }
         }
         let input = tokio::select! {
-            heard = pipe.hear() => match heard {
-                Ok(Some(message)) => heir::Input::Heard(message),
-                Ok(None) | Err(_) => heir::Input::Left,
-            },
+            heard = pipe.hear() => heard.map_or(heir::Input::Left, heir::Input::Heard),
             () = sleep(TICK) => heir::Input::Tick,
         };
         heir.handle(since.elapsed(), input, &mut steps);
@@ -111,10 +108,7 @@
     let mut steps = Vec::new();
     while heir.stage() != heir::Stage::Alone {
         let input = tokio::select! {
-            heard = pipe.hear() => match heard {
-                Ok(Some(message)) => heir::Input::Heard(message),
-                Ok(None) | Err(_) => heir::Input::Left,
-            },
+            heard = pipe.hear() => heard.map_or(heir::Input::Left, heir::Input::Heard),
             told = here.recv() => match told {
                 Some(Here::Prepared) => heir::Input::Prepared,
                 Some(Here::Marked(mark)) => heir::Input::Marked(mark),
@@ -171,15 +165,12 @@
     let (mut elder, since) = (Elder::default(), Instant::now());
     let mut ticks = tokio::time::interval(TICK);
     ticks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
-    let mut link: Option<(Rc<Pipe>, Instant)> = None;
+    let mut link: Option<(Pipe, Instant)> = None;
     let mut steps = Vec::new();
     loop {
         let hear = async {
             match &link {
-                Some((pipe, _)) => match pipe.hear().await {
-                    Ok(Some(message)) => elder::Input::Heard(message),
-                    Ok(None) | Err(_) => elder::Input::Left,
-                },
+                Some((pipe, _)) => pipe.hear().await.map_or(elder::Input::Left, elder::Input::Heard),
                 None => std::future::pending().await,
             }
         };
@@ -210,9 +201,8 @@
             match (step, link.as_ref().map(|(pipe, _)| pipe)) {
                 (elder::Output::Say(message), Some(pipe)) => drop(pipe.say(&message, &[]).await),
                 (elder::Output::Lend, Some(pipe)) => {
-                    let (listeners, fds) = host.listeners().into_iter().unzip();
+                    let (listeners, fds): (_, Vec<OwnedFd>) = host.listeners().into_iter().unzip();
                     let welcome = Message::Welcome { version: VERSION, listeners, state: host.state() };
-                    let fds: Vec<OwnedFd> = fds;
                     drop(pipe.say(&welcome, &fds).await);
                 }
                 (elder::Output::HangUp, _) => link = None,
@@ -232,11 +222,11 @@
 }
 
 /// Somebody calls: the first is linked, if it runs as the same user; others hear why not.
-fn called_by(stream: UnixStream, link: &mut Option<(Rc<Pipe>, Instant)>) {
+fn called_by(stream: UnixStream, link: &mut Option<(Pipe, Instant)>) {
     let own = rustix::process::geteuid().as_raw();
     let why = match stream.peer_cred() {
         Ok(peer) if peer.uid() == own && link.is_none() => {
-            *link = Some((Rc::new(Pipe::new(stream)), Instant::now()));
+            *link = Some((Pipe::new(stream), Instant::now()));
             return;
         }
         Ok(peer) if peer.uid() == own => "another upgrade is under way",
--- a/crates/handover/src/pipe.rs
+++ b/crates/handover/src/pipe.rs
@@ -47,8 +47,13 @@
         Ok(())
     }
 
-    /// The next message; none at the end of the connection. Nothing is lost if this is dropped while it waits.
-    pub async fn hear(&self) -> io::Result<Option<Message>> {
+    /// The next message; none once the connection has ended or brought what is no message. Nothing is lost if this is
+    /// dropped while it waits.
+    pub async fn hear(&self) -> Option<Message> {
+        self.next().await.ok().flatten()
+    }
+
+    async fn next(&self) -> io::Result<Option<Message>> {
         loop {
             let message = message::take(&mut self.come.borrow_mut());
             match message.map_err(|e| io::Error::new(io::ErrorKind::InvalidData, e.to_string()))? {
--- a/crates/http1/src/front.rs
+++ b/crates/http1/src/front.rs
@@ -135,11 +135,6 @@
         self.engine.ready() && self.accepting.get() && !self.ends_connections()
     }
 
-    /// Whether requests can be served, whoever accepts connections.
-    pub fn prepared(&self) -> bool {
-        self.engine.ready()
-    }
-
     /// Every answer closes its connection.
     fn ends_connections(&self) -> bool {
         self.leaving.get() || self.emptying.get().is_some()
--- a/crates/membership/src/roster.rs
+++ b/crates/membership/src/roster.rs
@@ -54,11 +54,10 @@
         if !known && !out {
             return None;
         }
-        if !out {
-            self.forget_marks();
-            self.marks.insert(uid.into(), Mark { out_ms: now / 1_000, back_ms: None });
-        }
-        Some(self.told.get(uid).map(|m| self.marked(m.clone())).into_iter().collect())
+        Some(match out {
+            true => self.heard_of(uid),
+            false => self.set_mark(uid, Mark { out_ms: now / 1_000, back_ms: None }),
+        })
     }
 
     /// Puts a server back, however often it was taken out.
@@ -68,7 +67,11 @@
             None if !self.told.contains_key(uid) => return None,
             None => {}
         }
-        Some(self.told.get(uid).map(|m| self.marked(m.clone())).into_iter().collect())
+        Some(self.heard_of(uid))
+    }
+
+    pub fn mark(&self, uid: &str) -> Option<Mark> {
+        self.marks.get(uid).copied()
     }
 
     pub fn marks(&self) -> impl Iterator<Item = (&String, &Mark)> {
@@ -81,6 +84,11 @@
             self.forget_marks();
         }
         self.marks.insert(uid.into(), mark);
+        self.heard_of(uid)
+    }
+
+    /// One server, if it is listed, as the engine hears of it.
+    fn heard_of(&self, uid: &str) -> Vec<Member> {
         self.told.get(uid).map(|m| self.marked(m.clone())).into_iter().collect()
     }
 
--- a/crates/membership/src/source.rs
+++ b/crates/membership/src/source.rs
@@ -45,12 +45,17 @@
         known.map(|told| self.engine.servers(ListKind::Partial, told)).is_some()
     }
 
-    /// What operators did to servers by hand, by their names.
+    /// What operators did to a server by hand.
+    pub fn mark(&self, uid: &str) -> Option<Mark> {
+        self.roster.borrow().mark(uid)
+    }
+
+    /// The same for all, by their names.
     pub fn marks(&self) -> Vec<(String, Mark)> {
         self.roster.borrow().marks().map(|(uid, mark)| (uid.clone(), *mark)).collect()
     }
 
-    /// The same for one server, as told by another process of this gateway.
+    /// Takes over what another process of this gateway was told of a server.
     pub fn set_mark(&self, uid: &str, mark: Mark) {
         let told = self.roster.borrow_mut().set_mark(uid, mark);
         self.engine.servers(ListKind::Partial, told);
