Count a request's end by its answer; one head of answers; long answers hide their connection

Found on reading: how a request ended was passed beside the answer that says so, and three places gave and counted it; the head of an answer was written twice; the front reached into a long answer's connection; whether a class is safe was looked up again beside Ask::safe.

--- a/crates/engine/src/engine.rs
+++ b/crates/engine/src/engine.rs
@@ -3,7 +3,7 @@
 
 use crate::clock::Clock;
 use crate::ports::*;
-use crate::tally::{self, Tally};
+use crate::tally::Tally;
 use crate::timers::{Due, Timers};
 use std::cell::{Cell, RefCell};
 use std::collections::hash_map::Entry;
@@ -34,6 +34,16 @@
     timed_out: bool,
 }
 
+impl Held {
+    /// Gives the one final answer; whether it had not been given.
+    fn give(&mut self, tally: &Tally, answer: Answer) -> bool {
+        let Some(sender) = self.answer.take() else { return false };
+        tally.answered(self.class, &answer);
+        let _ = sender.send(answer);
+        true
+    }
+}
+
 struct Out {
     server: ServerId,
     since: Instant,
@@ -200,13 +210,11 @@
             let Some(out) = held.attempts.get_mut(attempt).and_then(Option::take) else { return };
             held.timed_out = ended.status == Status::NoAnswer;
             if ended.status == Status::Served {
-                if let Some(answer) = held.answer.take() {
-                    self.tally.ended(held.class, tally::Outcome::Served);
-                    let _ = answer.send(match ended.rest {
-                        None => Answer::Served(ended.body),
-                        Some(rest) => Answer::Passing(ended.body, rest),
-                    });
-                }
+                let answer = match ended.rest {
+                    None => Answer::Served(ended.body),
+                    Some(rest) => Answer::Passing(ended.body, rest),
+                };
+                held.give(&self.tally, answer);
             }
             let elapsed = out.since.elapsed().as_micros() as Micros;
             let mut outcome = Outcome::new(id, attempt as u32, out.server, ended.status, elapsed);
@@ -250,12 +258,12 @@
                 }
             }
             Action::Refuse { request, retry_after_us } => {
-                self.answer(inner, request, tally::Outcome::Refused, |_| Answer::Refused {
+                self.answer(inner, request, |_| Answer::Refused {
                     retry_after: Duration::from_micros(retry_after_us),
                 });
             }
             Action::Fail { request } => {
-                self.answer(inner, request, tally::Outcome::Failed, |timed_out| Answer::Failed { timed_out });
+                self.answer(inner, request, |timed_out| Answer::Failed { timed_out });
             }
             Action::SetTimer { after_us, timer } => {
                 let due = match timer {
@@ -284,18 +292,9 @@
     }
 
     /// Gives the final answer, if it has not been given.
-    fn answer(
-        &self,
-        inner: &mut Inner,
-        id: RequestId,
-        how: tally::Outcome,
-        make: impl FnOnce(bool) -> Answer,
-    ) {
+    fn answer(&self, inner: &mut Inner, id: RequestId, make: impl FnOnce(bool) -> Answer) {
         let Some(held) = inner.held.get_mut(&id) else { return };
-        if let Some(sender) = held.answer.take() {
-            self.tally.ended(held.class, how);
-            let _ = sender.send(make(held.timed_out));
-        }
+        held.give(&self.tally, make(held.timed_out));
         forget(inner, id);
     }
 
@@ -341,13 +340,13 @@
 
     /// Guards against a request that nobody has answered: its client hears before it leaves.
     fn backstop(self: &Rc<Self>, id: RequestId) {
-        let sender = match self.inner.borrow_mut().held.get_mut(&id) {
-            Some(held) if held.answer_by <= Instant::now() => held.answer.take().map(|a| (a, held.class)),
-            _ => None,
+        let given = match self.inner.borrow_mut().held.get_mut(&id) {
+            Some(held) if held.answer_by <= Instant::now() => {
+                held.give(&self.tally, Answer::Failed { timed_out: true })
+            }
+            _ => false,
         };
-        if let Some((sender, class)) = sender {
-            self.tally.ended(class, tally::Outcome::Failed);
-            let _ = sender.send(Answer::Failed { timed_out: true });
+        if given {
             self.feed(Event::ClientGone(id));
             forget(&mut self.inner.borrow_mut(), id);
         }
--- a/crates/engine/src/lib.rs
+++ b/crates/engine/src/lib.rs
@@ -12,4 +12,4 @@
 pub use clock::Clock;
 pub use engine::Engine;
 pub use ports::*;
-pub use tally::{ClassTally, Outcome, Tally};
+pub use tally::{ClassTally, Tally};
--- a/crates/engine/src/tally.rs
+++ b/crates/engine/src/tally.rs
@@ -1,5 +1,6 @@
 //! What has been done so far, by class: counted where it happens, read by whoever shows it.
 
+use crate::ports::Answer;
 use std::cell::Cell;
 
 #[derive(Default)]
@@ -12,14 +13,6 @@
     pub attempts: Cell<u64>,
 }
 
-/// How a request ended.
-#[derive(Clone, Copy, Debug, PartialEq)]
-pub enum Outcome {
-    Served,
-    Refused,
-    Failed,
-}
-
 #[derive(Default)]
 pub struct Tally {
     pub classes: Vec<ClassTally>,
@@ -36,12 +29,12 @@
         self.classes.iter().position(|c| c.name == name).unwrap_or(0)
     }
 
-    pub fn ended(&self, class: usize, how: Outcome) {
+    pub fn answered(&self, class: usize, answer: &Answer) {
         let Some(c) = self.classes.get(class) else { return };
-        let count = match how {
-            Outcome::Served => &c.served,
-            Outcome::Refused => &c.refused,
-            Outcome::Failed => &c.failed,
+        let count = match answer {
+            Answer::Served(_) | Answer::Passing(..) => &c.served,
+            Answer::Refused { .. } => &c.refused,
+            Answer::Failed { .. } => &c.failed,
         };
         count.set(count.get() + 1);
     }
--- a/crates/http1/src/backend.rs
+++ b/crates/http1/src/backend.rs
@@ -39,14 +39,26 @@
 
 /// A long answer on its way: what has not come yet, and the connection over which it does.
 pub struct Passing {
-    pub unread: Unread,
-    pub conn: Conn,
+    unread: Unread,
+    conn: Conn,
     slot: Slot,
     server: ServerId,
     address: SocketAddr,
     reusable: bool,
 }
 
+impl Passing {
+    /// How long the whole body is, where its head tells.
+    pub fn length(&self) -> Option<usize> {
+        self.unread.length()
+    }
+
+    /// More of it, in place of what stands in `into`; whether that is the end.
+    pub async fn go_on(&mut self, into: &mut Vec<u8>) -> io::Result<bool> {
+        self.conn.go_on(&mut self.unread, into).await
+    }
+}
+
 /// A request on its way to whichever server is chosen.
 pub struct Outgoing {
     pub forward: Rc<Forward>,
--- a/crates/http1/src/front.rs
+++ b/crates/http1/src/front.rs
@@ -6,7 +6,7 @@
 use crate::conn::Room;
 use crate::message::*;
 use bytes::Bytes;
-use frosthatch_engine::{Answer, Arrival, Duplicate, Engine, Outcome, Protocol, Ruled, Rules, Ruling};
+use frosthatch_engine::{Answer, Arrival, Duplicate, Engine, Protocol, Ruled, Rules, Ruling};
 use httparse::{Header, Status as Parsed, EMPTY_HEADER};
 use socket2::SockRef;
 use std::any::Any;
@@ -30,6 +30,8 @@
 /// twice that.
 const BODY_WITHIN: Duration = Duration::from_secs(2);
 const SLOWEST: f64 = 32_000.0;
+/// A long body for which there is no room may come again after this.
+const NO_ROOM: Duration = Duration::from_secs(1);
 /// Either side of a long answer may make the other wait for so long.
 const STALLS: Duration = Duration::from_secs(10);
 /// A connection that has served is kept open for so long without a request.
@@ -370,7 +372,7 @@
             let room = head.room.get_or_insert_with(|| self.upstream.room());
             if !room.holds(head.body.capacity()) {
                 if let Some(ask) = &head.ask {
-                    self.engine.tally().ended(ask.forward.class, Outcome::Refused);
+                    self.unsent(ask.forward.class, Answer::Refused { retry_after: NO_ROOM });
                 }
                 return Err(BadRequest::NoRoom);
             }
@@ -493,16 +495,15 @@
         added: &str,
     ) -> bool {
         let Ok(mut passing) = rest.downcast::<Passing>() else { return false };
-        let length = passing.unread.length();
+        let length = passing.length();
         let chunked = length.is_none() && !old;
         let framing = match length {
             Some(length) => format!("Content-Length: {length}\r\n"),
             None if chunked => "Transfer-Encoding: chunked\r\n".into(),
             None => String::new(),
         };
-        let closes = if close { "Connection: close\r\n" } else { "" };
-        let mut out = format!("HTTP/1.1 200 OK\r\n{added}{closes}{framing}\r\n").into_bytes();
-        let (mut part, mut ended) = (first.to_vec(), false);
+        let mut out = answer_head("200 OK", added, close, &framing).into_bytes();
+        let (mut part, mut ended) = (Vec::from(first), false);
         loop {
             if !part.is_empty() {
                 if chunked {
@@ -525,8 +526,7 @@
                 return true;
             }
             out.clear();
-            let Passing { unread, conn, .. } = &mut *passing;
-            match timeout(STALLS, conn.go_on(unread, &mut part)).await {
+            match timeout(STALLS, passing.go_on(&mut part)).await {
                 Ok(Ok(whole)) => ended = whole,
                 // Spoilt, cut short or silent.
                 _ => return false,
@@ -542,12 +542,11 @@
         added: &mut String,
     ) -> Result<Option<Answer>, BadRequest> {
         let Some(rules) = &self.rules else { return self.answer(client, ask).await };
-        let class = self.settings.classes.iter().find(|c| c.name == ask.request.class);
         let (since, body) = (Instant::now(), rules.wants().1.min(ask.forward.body.len()));
         let mut ruling = Ruling {
             request: ask.request.clone(),
             left: ask.gone_at.saturating_duration_since(since),
-            repeatable: class.is_some_and(|c| c.effect == Effect::Repeatable),
+            repeatable: ask.safe,
             headers: std::mem::take(&mut ask.shown),
             body: ask.forward.body[..body].to_vec(),
         };
@@ -561,13 +560,9 @@
         let answer = match ruled {
             // Nothing has run, whatever its class.
             Some(Ruled::Refuse { retry_after }) => {
-                self.engine.tally().ended(ask.forward.class, Outcome::Refused);
-                Some(Answer::Refused { retry_after })
-            }
-            Some(Ruled::Fail) => {
-                self.engine.tally().ended(ask.forward.class, Outcome::Failed);
-                Some(Answer::Failed { timed_out: false })
+                self.unsent(ask.forward.class, Answer::Refused { retry_after })
             }
+            Some(Ruled::Fail) => self.unsent(ask.forward.class, Answer::Failed { timed_out: false }),
             Some(Ruled::GoOn { units, lower, within, headers }) => {
                 ask.request.units = ask.request.units.max(units.unwrap_or(0.0));
                 ask.request.lower = lower;
@@ -585,6 +580,12 @@
         Ok(Some(answer))
     }
 
+    /// The answer to a request that the engine never heard of.
+    fn unsent(&self, class: usize, answer: Answer) -> Option<Answer> {
+        self.engine.tally().answered(class, &answer);
+        Some(answer)
+    }
+
     /// The answer to a request; none if its client goes first.
     async fn answer(&self, client: &mut Client, ask: Ask) -> Result<Option<Answer>, BadRequest> {
         let Ask { request, gone_at, forward, .. } = ask;
@@ -622,7 +623,7 @@
 
     /// Says what is wrong and ends the connection, so that nothing behind it is read as a request.
     async fn turn_away(mut self, bad: &BadRequest) {
-        if !self.write(&response(bad.status(), bad.headers(), true, bad.text().as_bytes())).await {
+        if !self.write(&response(bad.status(), &bad.headers(), true, bad.text().as_bytes())).await {
             return;
         }
         let _ = SockRef::from(&self.stream).shutdown(std::net::Shutdown::Write);
@@ -772,10 +773,10 @@
         }
     }
 
-    fn headers(&self) -> &'static str {
+    fn headers(&self) -> String {
         match self {
-            BadRequest::NoRoom => "Retry-After: 1\r\n",
-            _ => "",
+            BadRequest::NoRoom => format!("Retry-After: {}\r\n", NO_ROOM.as_secs()),
+            _ => String::new(),
         }
     }
 
@@ -834,9 +835,14 @@
     }
 }
 
+/// The head of an answer; each of the `headers`, and what tells the `framing`, has its end.
+fn answer_head(status: &str, headers: &str, close: bool, framing: &str) -> String {
+    let close = if close { "Connection: close\r\n" } else { "" };
+    format!("HTTP/1.1 {status}\r\n{headers}{close}{framing}\r\n")
+}
+
 /// An answer as it is written; each of the `headers` has its end.
 fn response(status: &str, headers: &str, close: bool, body: &[u8]) -> Vec<u8> {
-    let close = if close { "Connection: close\r\n" } else { "" };
-    let head = format!("HTTP/1.1 {status}\r\n{headers}{close}Content-Length: {}\r\n\r\n", body.len());
+    let head = answer_head(status, headers, close, &format!("Content-Length: {}\r\n", body.len()));
     [head.as_bytes(), body].concat()
 }
