--- /dev/null
+++ b/crates/turndeck/tests/replay.rs
@@ -0,0 +1,405 @@
+//! Whether the decisions are still the same ones. Drawn worlds (gateways, servers, a counter, peers, reloads and takeovers)
+//! are played against the module, and a digest of all its actions is compared with the one that was recorded. A change
+//! that is to alter behaviour records them anew, in a commit of its own that says what it gains:
+//!
+//!     RECORD=1 cargo test -p turndeck --test replay
+
+use proptest::prelude::*;
+use proptest::strategy::ValueTree;
+use proptest::test_runner::TestRunner;
+use rand_pcg::rand_core::{RngCore, SeedableRng};
+use rand_pcg::Pcg64Mcg;
+use std::collections::BTreeMap;
+use std::fmt::Write;
+use turndeck::*;
+
+const GOLDEN: &str = "tests/golden/replay.txt";
+/// Worlds of each size of fleet.
+const WORLDS: usize = 12;
+/// Of a fleet so many gateways are played; what the others do shows in the counts.
+const PLAYED: u32 = 4;
+const SECONDS: u64 = 12;
+
+#[derive(Clone, Debug)]
+struct World {
+    gateways: u32,
+    counter: bool,
+    peers: bool,
+    told: bool,
+    effect: u8,
+    servers: usize,
+    customers: u32,
+    per_s: f64, // requests that each gateway gets a second
+    quota: f64,
+    max_open: u32,
+    ceiling: f64, // times the quota; 0: none
+    trouble: f64, // part of attempts and calls that end badly
+    cancel: bool,
+    seed: u64,
+}
+
+fn worlds(gateways: u32) -> impl Strategy<Value = World> {
+    let known = (any::<bool>(), any::<bool>(), any::<bool>());
+    let fleet = (0u8..3, 1usize..90, 1u32..16, 5.0..80.0f64);
+    let quotas = (1.0..60.0f64, 1u32..9, prop_oneof![Just(0.0), 1.2..3.0f64]);
+    let rest = (prop_oneof![Just(0.0), 0.01..0.4f64], any::<bool>(), any::<u64>());
+    (known, fleet, quotas, rest).prop_map(move |(known, fleet, quotas, rest)| World {
+        gateways,
+        counter: known.0,
+        peers: known.1,
+        told: known.2 && !known.0,
+        effect: fleet.0,
+        servers: fleet.1,
+        customers: fleet.2,
+        per_s: fleet.3,
+        quota: quotas.0,
+        max_open: quotas.1,
+        ceiling: quotas.2,
+        trouble: rest.0,
+        cancel: rest.1,
+        seed: rest.2,
+    })
+}
+
+impl World {
+    fn settings(&self, me: u32) -> Settings {
+        let class = |name: &str, aim_us, worth, effect| Class {
+            name: name.into(),
+            aim_us,
+            deadline_us: 3 * aim_us,
+            effect,
+            worth,
+            late_worth: 0.0,
+        };
+        let effect = match self.effect {
+            0 => Effect::Repeatable,
+            1 => Effect::Keyed { scope: Scope::Cell, window_us: 750_000 },
+            _ => Effect::Once,
+        };
+        let plan = |name: &str, rate: f64, max_open, price, excess_worth, ceiling: f64| Plan {
+            name: name.into(),
+            rate,
+            burst: rate * 2.0,
+            max_open,
+            price,
+            excess_worth,
+            overrun_cost: 1.0 - excess_worth,
+            ceiling: (ceiling > 0.0).then_some(Ceiling { rate: rate * ceiling, depth: rate * ceiling * 2.0 }),
+        };
+        Settings {
+            gateways: self.gateways,
+            me,
+            classes: vec![
+                class("read", 600_000, 2.0, Effect::Repeatable),
+                class("write", 300_000, 5.0, effect),
+            ],
+            plans: vec![
+                plan("small", self.quota / 8.0, 0, 0.5, 0.9, 0.0),
+                plan("places", 0.0, self.max_open, 1.3, 0.0, 0.0),
+                plan("large", self.quota, 0, 1.8, 0.0, self.ceiling),
+            ],
+            max_attempts: 4,
+            parallel_attempts: false,
+            cancel: self.cancel,
+            peer_messages: self.peers,
+            mail_per_s: 100.0,
+            counter: self.counter,
+            told_us: if self.told { 400_000 } else { 0 },
+            meter_period_us: 1_000_000,
+            cross_zone_cost: 0.02,
+            most_units: 6.0,
+            ..Settings::example()
+        }
+    }
+
+    fn entry(&self, n: usize) -> ServerEntry {
+        ServerEntry {
+            cell: (n % 5) as u64,
+            share: 1.0 + (n % 3) as f64 / 2.0,
+            ..ServerEntry::ready(&format!("s{n}"), if n.is_multiple_of(2) { "a" } else { "b" })
+        }
+    }
+
+    fn list(&self) -> Vec<ServerEntry> {
+        (0..self.servers).map(|n| self.entry(n)).collect()
+    }
+}
+
+struct Play {
+    world: World,
+    rng: Pcg64Mcg,
+    now: Micros,
+    gateways: Vec<Gateway>,
+    // By time, then in the order in which they came up.
+    due: BTreeMap<(Micros, u64), (usize, Event)>,
+    events: u64,
+    counts: BTreeMap<String, f64>,
+    attempts: BTreeMap<(usize, RequestId), u32>,
+    digest: u64,
+    seen: [u64; 8],
+}
+
+impl Play {
+    fn new(world: World) -> Play {
+        let played = world.gateways.min(PLAYED);
+        let gateways = (0..played)
+            .map(|me| Gateway::new(world.settings(me), world.seed + u64::from(me)).expect("settings"));
+        let mut play = Play {
+            rng: Pcg64Mcg::seed_from_u64(world.seed),
+            now: 1_000_000_000,
+            gateways: gateways.collect(),
+            due: BTreeMap::new(),
+            events: 0,
+            counts: BTreeMap::new(),
+            attempts: BTreeMap::new(),
+            digest: 0xcbf2_9ce4_8422_2325,
+            seen: [0; 8],
+            world,
+        };
+        for g in 0..played as usize {
+            play.later(0, g, Event::Servers { kind: ListKind::Complete, entries: play.world.list() });
+        }
+        play
+    }
+
+    fn later(&mut self, after: Micros, gateway: usize, event: Event) {
+        self.events += 1;
+        self.due.insert((self.now + after, self.events), (gateway, event));
+    }
+
+    fn chance(&mut self) -> f64 {
+        f64::from(self.rng.next_u32()) / f64::from(u32::MAX)
+    }
+
+    fn below(&mut self, n: u32) -> u32 {
+        self.rng.next_u32() % n.max(1)
+    }
+
+    /// All of it: what comes in for each gateway, and what follows.
+    fn run(mut self) -> (u64, [u64; 8]) {
+        let (end, played) = (self.now + SECONDS * 1_000_000, self.gateways.len());
+        for g in 0..played {
+            let mut at = 0;
+            while at < SECONDS * 1_000_000 {
+                at += (-(1.0 - self.chance() * 0.999_999).ln() / self.world.per_s * 1e6) as Micros;
+                let request = self.request();
+                if self.chance() < 0.03 {
+                    let after = at + Micros::from(self.below(100_000));
+                    self.later(after, g, Event::ClientGone(request.id));
+                }
+                self.later(at, g, Event::Request(request));
+            }
+            for second in 1..SECONDS {
+                let change = self.change(second);
+                let after = second * 1_000_000 + Micros::from(self.below(900_000));
+                self.later(after, g, change);
+            }
+        }
+        while let Some(((at, _), (g, event))) = self.due.pop_first() {
+            if at > end {
+                break;
+            }
+            self.now = at;
+            // A takeover: another process with the list that this one had. What was out is nobody's.
+            if matches!(&event, Event::Servers { kind: ListKind::Persisted, .. }) {
+                let stays = |e: &Event| matches!(e, Event::Request(_) | Event::Servers { .. });
+                self.due.retain(|_, (of, e)| *of != g || stays(e));
+                let settings = self.world.settings(g as u32);
+                self.gateways[g] = Gateway::new(settings, self.world.seed ^ at).expect("settings");
+            }
+            let mut out = Vec::new();
+            self.gateways[g].handle(at, event, &mut out);
+            for action in out {
+                self.take(g, action);
+            }
+        }
+        let left: u64 = self.gateways.iter().map(|g| g.open_requests() as u64).sum();
+        self.note(&format!("{left} open, {} avoided", self.gateways[0].avoided()));
+        (self.digest, self.seen)
+    }
+
+    fn request(&mut self) -> Request {
+        let n = self.below(self.world.customers);
+        let plan = ["small", "places", "large"][n as usize % 3];
+        let class = if self.chance() < 0.7 { "read" } else { "write" };
+        let patience = 150_000 + Micros::from(self.below(1_500_000));
+        let id = self.events + 1;
+        let mut r = Request::new(id, &format!("customer-{n}"), plan, class, patience);
+        r.units = f64::from(1 + self.below(6));
+        r.width = [1, 2, 3, 60, 300][n as usize % 5].min(self.world.gateways);
+        r.first_gateway = if r.width < 4 { 0 } else { n % self.world.gateways };
+        r.lower = self.chance() < 0.05;
+        if self.chance() < 0.02 {
+            r.pin = Some((ServerId(format!("s{}", n % 4).as_str().into()), self.chance() < 0.5));
+        }
+        r
+    }
+
+    /// News of the list: drains, cold starts, all of it again, or a takeover.
+    fn change(&mut self, second: u64) -> Event {
+        let n = self.below(self.world.servers as u32) as usize;
+        let mut entry = self.world.entry(n);
+        let kind = match self.below(6) {
+            0 => {
+                entry.health = Health::Draining;
+                ListKind::Partial
+            }
+            1 => {
+                entry.health = Health::Removed;
+                ListKind::Partial
+            }
+            2 | 3 => {
+                entry.started_us = 1_000_000_000 + second * 1_000_000;
+                ListKind::Partial
+            }
+            4 => return Event::Servers { kind: ListKind::Complete, entries: self.world.list() },
+            _ if self.world.seed.is_multiple_of(3) => {
+                return Event::Servers { kind: ListKind::Persisted, entries: self.world.list() }
+            }
+            _ => ListKind::Error,
+        };
+        Event::Servers { kind, entries: vec![entry] }
+    }
+
+    fn take(&mut self, g: usize, action: Action) {
+        let (now, mut told) = (self.now, format!("{action:?}"));
+        let kind = match action {
+            Action::Send { request, server, timeout_us } => {
+                let n = self.attempts.entry((g, request)).or_default();
+                let attempt = *n;
+                *n += 1;
+                let took =
+                    20_000 + Micros::from(self.below(120_000)) * if self.chance() < 0.05 { 8 } else { 1 };
+                let took = if self.slow() { took * 4 } else { took };
+                let (mut status, mut took) = match self.chance() < self.world.trouble {
+                    false => (Status::Served, took),
+                    true => {
+                        let bad = [
+                            Status::ServerError,
+                            Status::TurnedAway,
+                            Status::NoAnswer,
+                            Status::NoConnection,
+                            Status::ConnectionLost,
+                            Status::NotSent,
+                        ];
+                        (bad[self.below(6) as usize], took / 3)
+                    }
+                };
+                if timeout_us > 0 && took > timeout_us {
+                    (status, took) = (Status::NoAnswer, timeout_us);
+                }
+                let mut o = Outcome::new(request, attempt, server, status, took);
+                o.closed = status == Status::Served;
+                o.settled_units = (self.chance() < 0.1).then_some(2.0);
+                o.metered_use =
+                    (self.chance() < 0.5).then(|| f64::from((self.now / 1_000_000 % 5) as u32) * 0.6);
+                self.later(took, g, Event::Outcome(o));
+                0
+            }
+            Action::Cancel { .. } => 1,
+            Action::Refuse { .. } => 2,
+            Action::Fail { .. } => 3,
+            Action::SetTimer { after_us, timer } => {
+                self.later(after_us, g, Event::Timer(timer));
+                7
+            }
+            Action::Tell { to, bytes } => {
+                if (to as usize) < self.gateways.len() && self.chance() > self.world.trouble {
+                    self.later(1_000, to as usize, Event::Peer { from: g as u32, bytes });
+                }
+                4
+            }
+            Action::Count { name, amount, ttl_us } => {
+                // Of no weight here: the last digits of what a logarithm or a power gives on another machine.
+                told = format!("Count {name} {amount:.6} {ttl_us}");
+                self.count(g, name, amount);
+                5
+            }
+            Action::Used { tag, units } => {
+                for other in (0..self.gateways.len()).filter(|o| *o != g) {
+                    self.later(2_000, other, Event::Used { heard: vec![g as u32], uses: vec![(tag, units)] });
+                }
+                6
+            }
+            Action::Subscribe | Action::Log(_) => 7,
+        };
+        self.seen[kind] += 1;
+        self.note(&format!("{now} {g} {told}"));
+    }
+
+    /// Where there is trouble the servers are slow for four seconds.
+    fn slow(&self) -> bool {
+        self.world.trouble > 0.0 && (3_000_000..7_000_000).contains(&(self.now - 1_000_000_000))
+    }
+
+    /// The others of the fleet add, too; now and then it fails, and once it is down for two seconds.
+    fn count(&mut self, g: usize, name: String, amount: f64) {
+        let others = f64::from(self.world.gateways.saturating_sub(PLAYED)).min(20.0) * self.chance() * 0.05;
+        let down = (5_000_000..7_000_000).contains(&(self.now - 1_000_000_000)) && self.world.trouble > 0.0;
+        let status = match down || self.chance() < self.world.trouble {
+            false => Status::Served,
+            true => [Status::ServerError, Status::NoAnswer, Status::NoConnection][self.below(3) as usize],
+        };
+        let total = self.counts.entry(name.clone()).or_default();
+        if matches!(status, Status::Served | Status::NoAnswer) {
+            *total += amount + others.floor();
+        }
+        let total = *total;
+        let after =
+            1_500 + Micros::from(self.below(4_000)) + if status == Status::NoAnswer { 50_000 } else { 0 };
+        self.later(after, g, Event::Counted { name, status, total });
+    }
+
+    /// FNV-1a, 64 bits.
+    fn note(&mut self, line: &str) {
+        let step = |h: u64, b: u8| (h ^ u64::from(b)).wrapping_mul(0x0100_0000_01b3);
+        self.digest = line.bytes().fold(self.digest, step);
+    }
+}
+
+fn play_all() -> String {
+    let mut text =
+        String::from("# gateways world: sends cancels refusals failures tells counts uses timers digest\n");
+    for gateways in [1, 3, 30, 300] {
+        let mut runner = TestRunner::deterministic();
+        for n in 0..WORLDS {
+            let world = worlds(gateways).new_tree(&mut runner).expect("a world").current();
+            let (digest, seen) = Play::new(world).run();
+            let seen = seen.map(|n| n.to_string()).join(" ");
+            writeln!(text, "{gateways} {n}: {seen} {digest:016x}").expect("to memory");
+        }
+    }
+    text
+}
+
+#[test]
+fn the_decisions_are_those_that_were_recorded() {
+    let path = std::path::Path::new(env!("CARGO_MANIFEST_DIR")).join(GOLDEN);
+    let now = play_all();
+    if std::env::var_os("RECORD").is_some() {
+        return std::fs::write(path, now).expect("written");
+    }
+    let recorded = std::fs::read_to_string(path).expect("recorded digests");
+    for (recorded, now) in recorded.lines().zip(now.lines()) {
+        assert_eq!(recorded, now, "recorded on the left");
+    }
+    assert_eq!(recorded.lines().count(), now.lines().count());
+}
+
+/// Every kind of action occurs in the recorded worlds, or a digest would say little.
+#[test]
+fn the_worlds_show_all_kinds_of_actions() {
+    let text = play_all();
+    let mut sums = [0u64; 8];
+    for line in text.lines().skip(1) {
+        let figures = line.split_once(": ").expect("figures").1.split(' ');
+        figures.zip(&mut sums).for_each(|(f, sum)| *sum += f.parse::<u64>().unwrap_or(0));
+    }
+    assert!(sums.iter().all(|n| *n > 100), "{sums:?}");
+}
+
+/// The same events give the same actions, whatever else this process has done before.
+#[test]
+fn the_same_events_give_the_same_actions() {
+    assert_eq!(play_all(), play_all());
+}
