--- a/crates/membership/src/dnssd/driver.rs
+++ b/crates/membership/src/dnssd/driver.rs
@@ -2,7 +2,7 @@
 
 use super::browser::{Browser, Input, Output};
 use super::{read_anchor, Plan, PushPlan};
-use crate::source::Desk;
+use crate::desk::Desk;
 use std::collections::HashMap;
 use std::io;
 use std::net::{IpAddr, Ipv4Addr, Ipv6Addr, SocketAddr};
--- a/crates/membership/src/list.rs
+++ b/crates/membership/src/list.rs
@@ -1,6 +1,6 @@
 //! The list of servers: the form in which the list agent tells it, and the loop that watches it.
 
-use crate::source::Desk;
+use crate::desk::Desk;
 use frosthatch_engine::{Member, Protocol, State};
 use frosthatch_http1::conn::Conn;
 use serde::{Deserialize, Deserializer};
--- a/crates/turndeck/src/customer.rs
+++ b/crates/turndeck/src/customer.rs
@@ -1,17 +1,14 @@
 //! What this gateway knows of one customer's use and of what is left of its quota: levels, told and untold use, places.
-//! Knowledge and bookkeeping only; who is passed on or asked about is decided in `control.rs`.
+//! Knowledge and the arithmetic of its stores; how much of it may pass here is decided in `policy/quota.rs`.
 
 use crate::decayed::Decayed;
-use crate::interface::{Ceiling, Micros, RequestId};
+use crate::interface::{Ceiling, Micros, Plan, RequestId, Settings};
 use crate::ledger::{Digits, Ledger};
 use crate::places::Places;
 use std::collections::VecDeque;
 
 pub(crate) const RATE_TAU_US: f64 = 3_000_000.0; // µs; time constant of rates: customers move within seconds
-const QUOTA_MOST: f64 = 1.1; // times the quota that a count may let pass: it is put right from a tenth above it
 const APART: f64 = 1.5; // times the quota from which a ceiling is in two parts: the quota, and what is above it
-pub(crate) const FRESH_US: Micros = 100_000; // µs; what was heard is as good as now: a few requests of one customer
-pub(crate) const LENT_US: Micros = 500_000; // µs; what was asked for ahead is kept this long: a few requests of one customer
 const EPOCH_US: Micros = 3_000_000; // µs; many attempts, and short beside how long a gateway's death should be felt
 pub(crate) const COUNT_TTL_US: Micros = 60_000_000; // µs; life of a count (the counter's most), and of its name
 const HEARD_US: Micros = 1_500_000; // µs; what was heard counts this long, then the even slice holds
@@ -49,11 +46,30 @@
 }
 
 impl Customer {
+    /// One that was not known yet. `place`: where this gateway stands in its set; `level`: what its bucket begins with.
+    pub fn new(tag: u32, q: &Quota, width: u32, place: u32, set: &Settings, level: f64, at: Micros) -> Self {
+        Customer {
+            tag,
+            width,
+            level,
+            at,
+            digits: Digits::new(q.most, width, place).filter(|_| q.places && set.counter),
+            first: (set.me + set.gateways - place) % set.gateways,
+            ledger: Ledger::new(q.rate),
+            ..Customer::default()
+        }
+    }
+
     pub fn heard(&self, now: Micros) -> bool {
         let heard = self.heard_at.is_some_and(|t| now.saturating_sub(t) <= HEARD_US);
         self.kept || heard && (self.by_peers(now) || !self.ledger.astray(now))
     }
 
+    /// Just now, not only of late.
+    pub fn just_heard(&self, now: Micros) -> bool {
+        self.heard_at == Some(now)
+    }
+
     /// The even slice of the store is under one request.
     pub fn thin(&self, q: &Quota) -> bool {
         q.most < q.largest * f64::from(self.width)
@@ -70,16 +86,7 @@
         self.rare(q) && q.ceiling.is_some_and(far)
     }
 
-    /// What the ceiling has above the quota does not hold the units here.
-    pub fn short(&self, q: &Quota, units: f64) -> bool {
-        self.apart(q) && self.ceiling < units
-    }
-
-    /// The count holds the units for this gateway.
-    pub fn granted(&self, units: f64) -> bool {
-        self.credit > 0.0 && self.credit >= units
-    }
-
+    /// This gateway's part of what all ask for of late.
     pub fn by_demand(&self, now: Micros) -> f64 {
         let (mine, others) = (self.demand.at(now, RATE_TAU_US), self.others.at(now, RATE_TAU_US));
         if mine + others > 0.0 {
@@ -94,89 +101,53 @@
         now < self.told_till
     }
 
-    /// This gateway's part of the quota: of recent demand, or unheard what the meter leaves to it; floored at the even
-    /// slice.
-    pub fn part(&self, q: &Quota, now: Micros) -> f64 {
-        let width = f64::from(self.width);
-        if self.kept || self.by_peers(now) {
-            return 1.0;
-        }
-        let part = match self.heard(now) {
-            true => self.by_demand(now),
-            false if q.places => 0.0,
-            false => self.ledger.part(now, q.rate, width).unwrap_or(0.0),
-        };
-        part.max(1.0 / width)
-    }
-
-    pub fn refill(&mut self, q: &Quota, now: Micros) {
-        let (s, width) = (now.saturating_sub(self.at) as f64 / 1e6, f64::from(self.width));
-        self.at = now;
-        // Unheard, the slice of many gateways is less than one request: it is saved up to the largest.
-        let part = self.part(q, now);
-        let slice = (q.most * part).max(q.largest).min(q.most);
-        let heard = self.heard(now);
-        // What was told is no longer ours to use: a slice under one request begins afresh.
-        let over = !heard && self.thin(q) && self.heard_at.take().is_some();
-        self.level = self.level.min(if over { 0.0 } else { q.most });
-        let fill = match heard && self.rare(q) {
-            // All see the same store, and the others use it meanwhile.
-            true if !q.places => q.rate - self.others.per_s(now, RATE_TAU_US),
-            _ if heard && q.places => 0.0,
-            _ => q.rate * part,
-        };
-        self.level = (self.level + fill * s).min(if heard { q.most } else { slice });
-        // A restarted gateway begins with nothing of the ceiling, so that no restart mints a second burst.
-        let ceiling = q.ceiling.unwrap_or(Ceiling { rate: 0.0, depth: 0.0 });
-        let (rate, depth) = match self.apart(q) {
-            true => (ceiling.rate - QUOTA_MOST * q.rate, ceiling.depth - QUOTA_MOST * q.most),
-            false => (ceiling.rate, ceiling.depth),
-        };
-        self.ceiling = (self.ceiling + rate / width * s).min(depth / width);
-        self.leases.retain(|&t| t > now);
-        if q.places && self.kept {
-            self.level = q.most - f64::from(self.open) - self.leases.len() as f64;
+    /// The others have told all that they let through until a span before `till`.
+    pub fn told(&mut self, till: Micros, told_us: Micros) {
+        if till > self.told_till {
+            (self.told_till, self.spent) = (till, 0.0);
+            self.heard_at = self.heard_at.max(Some(till - told_us));
         }
     }
 
-    /// Units worth asking for beside a request's, for those that come soon: not more than an even slice of the store, and
-    /// none of one that is not well filled or whose customer asks for too much.
-    pub fn ahead(&self, q: &Quota, now: Micros) -> f64 {
-        let well = self.ledger.busy(now) <= 1.0 && self.heard_at.is_some() && self.level >= q.most / 2.0;
-        let soon = self.demand.per_s(now, RATE_TAU_US) * LENT_US as f64 / 1e6;
-        if self.apart(q) && well {
-            soon.min(q.most / f64::from(self.width))
-        } else {
-            0.0
-        }
+    /// A request came.
+    pub fn asks(&mut self, now: Micros, units: f64) {
+        self.demand.add(now, RATE_TAU_US, units);
+        self.active_at = now;
     }
 
-    /// What was asked for ahead and not used in time goes back.
-    pub fn lapse(&mut self, now: Micros) {
-        if self.heard_at.is_none_or(|at| now.saturating_sub(at) >= LENT_US) {
-            self.credit = 0.0;
+    /// Units are used here, within the store or beyond it.
+    pub fn used(&mut self, now: Micros, units: f64, within: bool) {
+        if within {
+            self.level -= units;
+            self.unposted += units;
+            self.spent += units;
+            self.credit = (self.credit - units).max(0.0);
         }
+        self.ledger.used(now, units);
     }
 
-    /// Whether the store surely holds the units: since told, the others used the whole rate, or nothing.
-    pub fn sure(&self, q: &Quota, units: f64, now: Micros) -> Option<bool> {
-        if !self.kept && !self.rare(q) && self.ledger.astray(now) {
-            return Some(self.level >= units);
-        }
-        if self.places.spare > 0 || self.granted(units) {
-            return Some(true);
-        }
-        let heard_at = if self.kept { now } else { self.heard_at? };
-        // The count is out of step: it may be right again by now.
-        if !self.kept && self.level <= -q.most {
-            return None;
-        }
-        let busy = if self.rare(q) { self.ledger.busy(now) } else { 1.0 };
-        let since = now.saturating_sub(heard_at) as f64 / 1e6 * q.rate * busy;
-        let (holds, most) = (self.level - since >= units, self.level + since * (1.0 - self.part(q, now)));
-        // Of many gateways some have asked in vain just now, and what they asked for is back soon.
-        let not = most < units && (!self.rare(q) || now.saturating_sub(heard_at) <= FRESH_US);
-        (self.kept || !q.places && (holds || not)).then_some(holds)
+    /// What was guessed turned out to be so much more.
+    pub fn settled(&mut self, beyond: f64) {
+        (self.level, self.unposted) = (self.level - beyond, self.unposted + beyond);
+    }
+
+    /// All that the count holds for this gateway beside what is in use.
+    pub fn kept_back(&self) -> f64 {
+        f64::from(self.places.spare) + self.credit
+    }
+
+    /// A call with `wanted` units beside what is untold: the amount to add.
+    pub fn called(&mut self, wanted: f64) -> f64 {
+        let kept = self.kept_back();
+        let amount = self.unposted + kept + wanted;
+        (self.asking, self.unposted) = (1, -kept - wanted);
+        amount
+    }
+
+    /// As keeper: so many places that others gave back, or took until `lapse`.
+    pub fn lease(&mut self, q: &Quota, taken: f64, lapse: Micros) {
+        self.leases.drain(..(-taken).clamp(0.0, self.leases.len() as f64) as usize);
+        self.leases.extend(std::iter::repeat_n(lapse, taken.clamp(0.0, q.most) as usize));
     }
 
     /// So many gateways that digits do not hold their places. Then their sum begins anew again and again: it forgets by
@@ -185,12 +156,13 @@
         q.places && self.digits.is_none() && q.alone
     }
 
-    /// Which of its count's lives this is, and how long one is.
-    pub fn life(&self, q: &Quota, now: Micros) -> (u64, Micros) {
-        match self.by_epochs(q) {
+    /// Name and life of its count now.
+    pub fn count(&self, q: &Quota, now: Micros) -> (String, Micros) {
+        let (life, ttl_us) = match self.by_epochs(q) {
             true => (self.epoch(now), 2 * EPOCH_US),
             false => (now / COUNT_TTL_US, COUNT_TTL_US),
-        }
+        };
+        (format!("{:08x}:{life}", self.tag), ttl_us)
     }
 
     /// Each customer's begins at another time.
@@ -206,26 +178,23 @@
         }
     }
 
-    /// An attempt begins or ends; where only attempts are capped, that is what the keeper adds up. A place that the
-    /// count holds for this gateway is kept for its next request, and looked at a while later: true.
-    pub fn place(&mut self, q: &Quota, begins: bool, now: Micros) -> bool {
+    /// An attempt begins or ends; where only attempts are capped, that is what the keeper adds up. How many places the
+    /// count would hold for this gateway's next requests then; none: it does not count by them.
+    pub fn place(&mut self, q: &Quota, begins: bool, now: Micros) -> Option<u32> {
         self.open = if begins { self.open + 1 } else { self.open.saturating_sub(1) };
-        if !q.places || self.kept {
-            return false;
-        }
-        if self.by_epochs(q) && self.told_in != self.epoch(now) {
-            return false;
+        let untold = self.by_epochs(q) && self.told_in != self.epoch(now);
+        if !q.places || self.kept || untold {
+            return None;
         }
         self.unposted += if begins { 1.0 } else { -1.0 };
         self.level += if begins { -1.0 } else { f64::from(u8::from(self.heard(now))) };
-        let spare = if begins { self.places.spare.saturating_sub(1) } else { self.places.spare + 1 };
-        self.spare(spare)
+        let spare = self.places.spare;
+        Some(if begins { spare.saturating_sub(1) } else { spare + 1 })
     }
 
-    /// Keeps so many places, as far as the count holds them for this gateway and there is room for all.
-    pub fn spare(&mut self, wanted: u32) -> bool {
-        let told = self.digits.map_or(0.0, |_| self.level.min(-self.unposted).max(0.0));
-        self.places.keep(wanted.min(told as u32))
+    /// Places that the count holds for this gateway, not in use, and for which there is room.
+    pub fn held_free(&self) -> f64 {
+        self.digits.map_or(0.0, |_| self.level.min(-self.unposted).max(0.0))
     }
 }
 
@@ -240,3 +209,23 @@
     pub stake: f64,  // what is lost by passing on beyond it, beside the plan where that is most
     pub alone: bool, // many gateways, which tell each other nothing: there is the counter only
 }
+
+impl Quota {
+    /// By plan, while an attempt takes so long. `few`: gateways, of more each has few calls.
+    pub fn all(set: &Settings, attempt_s: f64, few: u32) -> Vec<Quota> {
+        let alone = set.counter && set.told_us == 0 && set.gateways > few;
+        let cost = |p: &Plan| p.price * p.overrun_cost;
+        let most_cost = set.plans.iter().map(cost).fold(0.0, f64::max);
+        let store = |p: &Plan| {
+            let most = if p.max_open > 0 { f64::from(p.max_open) } else { 1e12 };
+            let (rate, most, largest) = match p.rate > 0.0 {
+                true => (p.rate, p.burst, set.most_units),
+                false => (most / attempt_s, most, 1.0),
+            };
+            let stake = if most_cost > 0.0 { cost(p) / most_cost } else { 1.0 };
+            let places = p.rate <= 0.0 && p.max_open > 0;
+            Quota { rate, most, largest, places, ceiling: p.ceiling, stake, alone }
+        };
+        set.plans.iter().map(store).collect()
+    }
+}
--- /dev/null
+++ b/crates/turndeck/src/fleet.rs
@@ -0,0 +1,160 @@
+//! The servers as this gateway knows them: what the list told of each, what its answers were like, sums over all. Knowledge
+//! only; which server a request goes to is decided elsewhere.
+
+use crate::customer::RATE_TAU_US;
+use crate::decayed::Decayed;
+use crate::interface::*;
+use crate::server::{Server, Zones};
+use std::collections::BTreeMap;
+
+const ANSWER_WEIGHT: f64 = 0.2; // weight of one answer in a server's averages: about the last five
+const UNREACHABLE_WEIGHT: f64 = 0.8; // weight of a failed connection: nobody is there
+const FORGET_US: f64 = 4_000_000.0; // µs; what is thought of a silent server halves in this, or later:
+const FORGET_VISITS: f64 = 2.0; // ...only after as long as this many sends to each server take from here
+const TOTALS_US: Micros = 50_000; // µs; sums over so many servers are kept this long: short beside an interval
+
+/// Sums over the servers, as of a time.
+#[derive(Clone, Copy, Default)]
+pub(crate) struct Totals {
+    at: Micros,
+    pub out: f64,
+    pub ready: f64,
+    pub size: f64, // of the ready ones, as far as they are warm
+}
+
+pub(crate) struct Fleet {
+    pub servers: BTreeMap<ServerId, Server>,
+    /// The ready ones, where there are too many to look at all.
+    pub names: Vec<ServerId>,
+    most: usize, // looked at
+    totals: Totals,
+    pub zones: Zones,
+    sends: Decayed,
+}
+
+impl Fleet {
+    /// Of so many at most all are looked at, again and again.
+    pub fn new(most: usize) -> Self {
+        Fleet {
+            servers: BTreeMap::new(),
+            names: Vec::new(),
+            most,
+            totals: Totals::default(),
+            zones: Zones::default(),
+            sends: Decayed::default(),
+        }
+    }
+
+    pub fn ready(&self) -> impl Iterator<Item = &Server> {
+        self.servers.values().filter(|s| s.health == Health::Ready)
+    }
+
+    /// Sums over the servers; over many of them they are not taken anew for each request.
+    pub fn totals(&self, cold: &ColdStart, now: Micros) -> Totals {
+        if self.names.is_empty() {
+            self.sum_up(cold, now)
+        } else {
+            self.totals
+        }
+    }
+
+    pub fn sum_up(&self, cold: &ColdStart, now: Micros) -> Totals {
+        Totals {
+            at: now,
+            out: self.servers.values().map(|s| f64::from(s.out)).sum(),
+            ready: self.ready().count() as f64,
+            size: self.ready().map(|s| s.share * s.warmth(cold, now)).sum(),
+        }
+    }
+
+    /// A request comes: sums over many that have become old are taken anew.
+    pub fn look(&mut self, cold: &ColdStart, now: Micros) {
+        if !self.names.is_empty() && now >= self.totals.at + TOTALS_US {
+            self.totals = self.sum_up(cold, now);
+        }
+    }
+
+    /// News of the list. `chance`: part of a send that a new one is taken to have saved up.
+    pub fn list(
+        &mut self,
+        kind: ListKind,
+        entries: Vec<ServerEntry>,
+        cold: &ColdStart,
+        now: Micros,
+        mut chance: impl FnMut() -> f64,
+    ) {
+        if matches!(kind, ListKind::Complete | ListKind::Persisted) {
+            self.servers.values_mut().for_each(|s| s.health = Health::Removed);
+        }
+        for e in entries {
+            let s = self.servers.entry(e.server).or_default();
+            if s.slowness == 0.0 || s.started != e.started_us {
+                // New, or a restarted process: what was known of the old one is void.
+                let credit = (chance(), now);
+                *s = Server { slowness: 1.0, judged_at: now, credit, out: s.out, ..Server::default() };
+            }
+            (s.group, s.started, s.health, s.pool) = ((e.zone, e.cell), e.started_us, e.health, e.pool);
+            s.share = if e.share.is_finite() && e.share > 0.0 { e.share } else { 1.0 };
+        }
+        self.servers.retain(|_, s| s.health != Health::Removed || s.out > 0);
+        let ready = self.servers.iter().filter(|(_, s)| s.health == Health::Ready);
+        self.names = ready.map(|(name, _)| name.clone()).collect();
+        if self.names.len() <= self.most {
+            self.names.clear();
+        }
+        self.totals = self.sum_up(cold, now);
+        self.zones.keep(|zone| self.servers.values().any(|s| s.group.0 == zone));
+    }
+
+    /// An attempt goes out, by one of the sends that were saved up: to which group of servers.
+    pub fn sent(&mut self, server: &ServerId, saved: f64, now: Micros) -> Option<(String, u64)> {
+        self.sends.add(now, RATE_TAU_US, 1.0);
+        let s = self.servers.get_mut(server)?;
+        s.out += 1;
+        s.credit = (saved - 1.0, now);
+        Some(s.group.clone())
+    }
+
+    /// An attempt there ended. How warm the server is; none: it is gone.
+    pub fn ended(&mut self, server: &ServerId, cold: &ColdStart, now: Micros) -> Option<f64> {
+        let s = self.servers.get_mut(server)?;
+        s.out = s.out.saturating_sub(1);
+        Some(s.warmth(cold, now))
+    }
+
+    pub fn sends_per_s(&self, now: Micros) -> f64 {
+        self.sends.per_s(now, RATE_TAU_US).max(0.1)
+    }
+
+    /// One of many gateways meets a server rarely: what it learned must last until it meets it again.
+    pub fn forget_us(&self, now: Micros) -> f64 {
+        FORGET_US.max(FORGET_VISITS * self.servers.len() as f64 / self.sends_per_s(now) * 1e6)
+    }
+
+    /// An attempt ended after `ratio` times the usual time, as a warm server counts it. `zones`: what is thought of one goes
+    /// for its zone, too.
+    pub fn judge(&mut self, server: &ServerId, status: Status, ratio: f64, now: Micros, zones: bool) {
+        let forget_us = self.forget_us(now);
+        let Some(s) = self.servers.get_mut(server) else { return };
+        // Unanswered is slow and failed in one: guards against servers, or a class on them, gone silent.
+        let (slow, failed, weight) = match status {
+            Status::Served => (ratio, 0.0, ANSWER_WEIGHT),
+            Status::NoAnswer | Status::CalledOff if ratio > 1.0 => (ratio, 1.0, ANSWER_WEIGHT),
+            Status::NoConnection => (s.slowness, 1.0, UNREACHABLE_WEIGHT),
+            Status::NoAnswer | Status::CalledOff | Status::NotSent => (s.slowness, s.errors, 0.0),
+            _ => (s.slowness, 1.0, ANSWER_WEIGHT),
+        };
+        let zone = self.zones.at(now).errors(&s.group.0);
+        s.judge(now, forget_us, weight, slow, failed, zone);
+        if weight > 0.0 && zones {
+            self.zones.judge(&s.group.0, now, failed);
+        }
+    }
+
+    /// Ready servers of which more failed than not.
+    pub fn avoided(&self, now: Micros) -> usize {
+        let forget_us = self.forget_us(now);
+        let zones = self.zones.at(now);
+        self.ready().filter(|s| s.thought(now, forget_us, zones.errors(&s.group.0)).1 > 0.5).count()
+    }
+}
--- a/crates/turndeck/src/lib.rs
+++ b/crates/turndeck/src/lib.rs
@@ -34,16 +34,22 @@
 
 mod boot;
 mod calls;
-mod control;
+mod count;
 mod customer;
 mod decayed;
+mod fleet;
 mod gossip;
 mod interface;
 mod latency;
 mod ledger;
+mod pace;
+mod peers;
 mod places;
+mod policy;
+mod request;
 mod server;
 
 pub use boot::BootInfo;
-pub use control::Gateway;
+
 pub use interface::*;
+pub use policy::Gateway;
