Subsets: one of many gateways uses 20 to 39 of the servers, dealt out evenly

Ways weighed (subset.rs): rendezvous hashing (uneven by a sixth), aperture (needs weights told), rounds by hash: even to one, least moved; taken. Off for 8 gateways or fewer, or where two subsets would not fit. Cold budgets and what is remembered go by the part; a repeat that finds only servers that had it before looks at all of them. Tests: evenness and movement by proptest; what drains is left at once; keyed repeats find their cell; 300 gateways do not push a cold server over (fails where a gateway's part is counted twice).

--- a/crates/turndeck/src/fleet.rs
+++ b/crates/turndeck/src/fleet.rs
@@ -24,8 +24,10 @@
 
 pub(crate) struct Fleet {
     pub servers: BTreeMap<ServerId, Server>,
-    /// The ready ones, where there are too many to look at all.
+    /// The ready ones, where there are too many to look at all; or those of them that this gateway uses.
     pub names: Vec<ServerId>,
+    /// This gateway's part of the ready servers, if it does not use all.
+    pub part: Option<f64>,
     most: usize, // looked at
     totals: Totals,
     pub zones: Zones,
@@ -38,6 +40,7 @@
         Fleet {
             servers: BTreeMap::new(),
             names: Vec::new(),
+            part: None,
             most,
             totals: Totals::default(),
             zones: Zones::default(),
@@ -74,7 +77,8 @@
         }
     }
 
-    /// News of the list. `chance`: part of a send that a new one is taken to have saved up.
+    /// News of the list. `chance`: part of a send that a new one is taken to have saved up; `subset`: the ready ones that
+    /// this gateway uses, if not all.
     pub fn list(
         &mut self,
         kind: ListKind,
@@ -82,6 +86,7 @@
         cold: &ColdStart,
         now: Micros,
         mut chance: impl FnMut() -> f64,
+        subset: impl FnOnce(&[ServerId]) -> Option<Vec<ServerId>>,
     ) {
         if matches!(kind, ListKind::Complete | ListKind::Persisted) {
             self.servers.values_mut().for_each(|s| s.health = Health::Removed);
@@ -99,8 +104,12 @@
         self.servers.retain(|_, s| s.health != Health::Removed || s.out > 0);
         let ready = self.servers.iter().filter(|(_, s)| s.health == Health::Ready);
         self.names = ready.map(|(name, _)| name.clone()).collect();
-        if self.names.len() <= self.most {
-            self.names.clear();
+        let subset = subset(&self.names);
+        self.part = subset.as_ref().map(|s| s.len() as f64 / self.names.len() as f64);
+        match subset {
+            Some(subset) => self.names = subset,
+            None if self.names.len() <= self.most => self.names.clear(),
+            None => {}
         }
         self.totals = self.sum_up(cold, now);
         self.zones.keep(|zone| self.servers.values().any(|s| s.group.0 == zone));
@@ -128,7 +137,8 @@
 
     /// One of many gateways meets a server rarely: what it learned must last until it meets it again.
     pub fn forget_us(&self, now: Micros) -> f64 {
-        FORGET_US.max(FORGET_VISITS * self.servers.len() as f64 / self.sends_per_s(now) * 1e6)
+        let used = self.servers.len() as f64 * self.part.unwrap_or(1.0);
+        FORGET_US.max(FORGET_VISITS * used / self.sends_per_s(now) * 1e6)
     }
 
     /// An attempt ended after `ratio` times the usual time, as a warm server counts it. `zones`: what is thought of one goes
--- a/crates/turndeck/src/policy/choice.rs
+++ b/crates/turndeck/src/policy/choice.rs
@@ -4,8 +4,10 @@
 //! drains, and many gateways do not begin with the same.
 
 use super::{chance, Gateway};
+use crate::calls::FEW;
 use crate::interface::*;
 use crate::server::Server;
+use crate::subset;
 use rand_pcg::rand_core::RngCore;
 
 const CHANCE: f64 = 1.5; // slowness up to this is chance: work differs more than servers do
@@ -13,8 +15,15 @@
 const ERROR_COST: f64 = 10.0; // times dearer is a server that fails everything
 const COLD_SHARE: f64 = 0.5; // of the cold budget of one core that this gateway lets itself use
 const COLD_GAIN: f64 = 2.0; // times what servers of its size and warmth were seen to do, it gets at most
+const SUBSET: usize = 20; // servers that one of many gateways uses at least: more than it has out, of all zones
 pub(super) const LOOKED_AT: usize = 64; // servers compared for a request: of more, so many drawn by chance are as good as all
 
+/// The ready servers that this gateway uses; none: all of them. One of many meets each of a few often enough to know it,
+/// and keeps its connections.
+pub(super) fn subset(set: &Settings, ready: &[ServerId]) -> Option<Vec<ServerId>> {
+    (set.gateways > FEW).then(|| subset::of(set.me, set.gateways, SUBSET, ready)).flatten()
+}
+
 impl Gateway {
     /// Sends left in this gateway's part of a cold server's budget, saved up from a part drawn by chance, so
     /// that many take turns: a multiple of what servers were seen to do, or a share of one core's work. Both go by
@@ -22,7 +31,9 @@
     fn cold_room(&self, s: &Server, warmth: f64) -> f64 {
         let cold = &self.set.cold;
         let core = cold.tip_multiple / self.pace.work_s * COLD_SHARE / f64::from(self.set.gateways);
-        let rate = warmth * core.max(COLD_GAIN * self.pace.throughput * s.share);
+        // Only those that have it in their subset send to it.
+        let part = self.fleet.part.unwrap_or(1.0);
+        let rate = warmth * core.max(COLD_GAIN * self.pace.throughput * s.share) / part;
         let window_s = cold.tip_after_us as f64 / 1e6;
         let saved = s.credit.0 + rate * self.now.saturating_sub(s.credit.1) as f64 / 1e6;
         saved.min((rate * window_s / 2.0).max(1.0))
@@ -40,7 +51,17 @@
             }
         }
         let names = &self.fleet.names;
-        if !names.is_empty() {
+        if self.fleet.part.is_some() {
+            let some = names.clone();
+            let chosen = self.cheapest(id, Some(&some));
+            // A repeat may find only those there that had it before: then others of its cell are better.
+            let new = |(server, _): &(ServerId, f64)| {
+                self.requests.get(&id).is_some_and(|p| p.attempts.iter().all(|a| a.server != *server))
+            };
+            if chosen.as_ref().is_some_and(new) {
+                return chosen;
+            }
+        } else if !names.is_empty() {
             let ready = names.len() as u64;
             let rng = &mut self.rng;
             let mut drawn = || names[((u64::from(rng.next_u32()) * ready) >> 32) as usize].clone();
@@ -57,7 +78,8 @@
     fn cheapest(&mut self, id: RequestId, of: Option<&[ServerId]>) -> Option<(ServerId, f64)> {
         let (p, now, cold) = (self.requests.get(&id)?, self.now, &self.set.cold);
         let forget_us = self.fleet.forget_us(now);
-        let each_us = self.fleet.totals(cold, now).size / self.fleet.sends_per_s(now) * 1e6;
+        let part = self.fleet.part.unwrap_or(1.0);
+        let each_us = part * self.fleet.totals(cold, now).size / self.fleet.sends_per_s(now) * 1e6;
         let unseen = 1.0 - 2.0 / f64::from(self.set.gateways);
         let zones = self.fleet.zones.at(now);
         let mut best: Option<(bool, f64, &ServerId, f64)> = None;
--- a/crates/turndeck/src/policy/mod.rs
+++ b/crates/turndeck/src/policy/mod.rs
@@ -108,7 +108,9 @@
             Event::Servers { kind, entries } => {
                 let ask = kind == ListKind::Error && self.set.list_on_request;
                 out.extend(ask.then_some(Action::Subscribe));
-                self.fleet.list(kind, entries, &self.set.cold, self.now, || chance(&mut self.rng));
+                let (set, rng) = (&self.set, &mut self.rng);
+                let part = |ready: &[ServerId]| choice::subset(set, ready);
+                self.fleet.list(kind, entries, &set.cold, self.now, || chance(rng), part);
                 self.retry_waiting(out);
             }
             Event::Request(r) => self.on_request(r, out),
--- /dev/null
+++ b/crates/turndeck/tests/subsets.rs
@@ -0,0 +1,113 @@
+//! One of many gateways uses a part of many servers, and the rules hold all the same.
+
+mod common;
+use common::*;
+use std::collections::BTreeSet;
+use turndeck::*;
+
+const GATEWAYS: u32 = 300;
+const SERVERS: usize = 200;
+
+fn one(me: u32, change: impl FnOnce(&mut Settings)) -> Rig {
+    let mut settings = Settings { gateways: GATEWAYS, me, ..wide() };
+    change(&mut settings);
+    Rig::seeded(settings, u64::from(me))
+}
+
+fn entry(n: usize) -> ServerEntry {
+    ServerEntry {
+        cell: n as u64 / 4,
+        ..ServerEntry::ready(&format!("s{n}"), if n < 100 { "a" } else { "b" })
+    }
+}
+
+/// So many requests, one after the other: where they went.
+fn used(rig: &mut Rig, requests: usize) -> BTreeSet<ServerId> {
+    let one = |_| {
+        rig.now += 50_000;
+        let (id, actions) = rig.request("c");
+        let server = sent(&actions).expect("sent");
+        rig.outcome(id, 0, &server, Status::Served, 50_000);
+        server
+    };
+    (0..requests).map(one).collect()
+}
+
+#[test]
+fn one_of_many_gateways_uses_few_of_many_servers_and_all_use_all() {
+    let mut all = BTreeSet::new();
+    for me in 0..40 {
+        let mut rig = one(me, |_| {});
+        rig.list(ListKind::Complete, (0..SERVERS).map(entry).collect());
+        let some = used(&mut rig, 100);
+        assert!((10..40).contains(&some.len()), "{} servers", some.len());
+        all.extend(some);
+    }
+    assert_eq!(all.len(), SERVERS);
+}
+
+/// Guards against a gateway that clings to its part: when all of it drains others take its place at once.
+#[test]
+fn when_its_servers_drain_others_take_their_place() {
+    let mut rig = one(7, |_| {});
+    rig.list(ListKind::Complete, (0..SERVERS).map(entry).collect());
+    let before = used(&mut rig, 200);
+    let drains = |n: &usize| before.contains(&entry(*n).server);
+    let entries = (0..SERVERS).filter(drains).map(|n| ServerEntry { health: Health::Draining, ..entry(n) });
+    rig.list(ListKind::Partial, entries.collect());
+    let after = used(&mut rig, 200);
+    assert!(before.is_disjoint(&after), "{:?}", before.intersection(&after).collect::<Vec<_>>());
+    assert!(after.len() >= 10, "{}", after.len());
+}
+
+/// A repeat may go only to the cell that drops it, of which the part may hold no other server.
+#[test]
+fn a_repeat_leaves_the_part_where_only_others_drop_it() {
+    let keyed = Effect::Keyed { scope: Scope::Cell, window_us: 1_000_000 };
+    let mut rig = one(11, |s| s.classes[0].effect = keyed);
+    rig.list(ListKind::Complete, (0..SERVERS).map(entry).collect());
+    let part = used(&mut rig, 200);
+    let cell = |s: &ServerId| s.0[1..].parse::<usize>().expect("its number") / 4;
+    let mut left = 0;
+    // The budget for further attempts holds ten.
+    for _ in 0..10 {
+        rig.now += 200_000;
+        let (id, actions) = rig.request("c");
+        let first = sent(&actions).expect("sent");
+        let second = sent(&rig.outcome(id, 0, &first, Status::ConnectionLost, 1_000)).expect("sent again");
+        assert_eq!(cell(&first), cell(&second));
+        assert_ne!(first, second, "the cell has others");
+        left += usize::from(!part.contains(&second));
+        rig.outcome(id, 1, &second, Status::Served, 1_000);
+    }
+    assert!(left > 0, "of most cells the part has one server");
+}
+
+/// What all gateways together send to a cold server within the stated time stays under what makes it fall over, though
+/// each of those that use it sends more than an even share of all.
+#[test]
+fn a_cold_server_is_not_pushed_over_by_those_that_use_it() {
+    const WORK_US: Micros = 50_000;
+    let cold = ColdStart { from: 0.27, warm_us: 18_000_000, tip_multiple: 4.0, tip_after_us: 3_000_000 };
+    let mut to_cold = 0;
+    for me in 0..GATEWAYS {
+        let mut rig = one(me, |s| s.cold = cold);
+        rig.list(ListKind::Complete, (0..SERVERS).map(entry).collect());
+        // What attempts take is learned first.
+        used(&mut rig, 20);
+        rig.interval();
+        let restarted = ServerEntry { started_us: rig.now, ..entry(5) };
+        rig.list(ListKind::Partial, vec![restarted]);
+        for _ in 0..30 {
+            rig.now += 50_000;
+            let (id, actions) = rig.request("c");
+            let server = sent(&actions).expect("sent");
+            to_cold += usize::from(server == entry(5).server);
+            rig.outcome(id, 0, &server, Status::Served, WORK_US);
+        }
+    }
+    // A server of one core does 20 a second; cold 0.27 of it, times 4, for 3 s.
+    let most = 20.0 * 0.27 * 4.0 * 3.0;
+    assert!((to_cold as f64) < most, "{to_cold} of {most}");
+    assert!(to_cold > 0, "it is used, so that it grows warm");
+}
