--- a/crates/turndeck/src/policy/attempts.rs
+++ b/crates/turndeck/src/policy/attempts.rs
@@ -91,18 +91,13 @@
         let c = &*c;
         let fill = if q.places { 0.0 } else { q.rate * c.part(&q, now) };
         let wait_us = if fill > 0.0 { (units - c.level).max(0.0) / fill * 1e6 } else { 0.0 };
-        // Beyond the quota only what earns more than it costs is passed on, and only with servers at ease, which one of
-        // many gateways cannot see.
-        let (rare, busy, price) = (c.rare(&q), c.ledger.busy(now), &self.set.plans[plan]);
-        let at_ease = !rare && fraction >= 1.0 && self.pace.classes.iter().all(|l| l.mean <= 2.0 * l.lowest);
-        let (excess, over) = (at_ease && price.excess_worth > price.overrun_cost, price.overrun_cost);
+        let (rare, busy, over) = (c.rare(&q), c.ledger.busy(now), self.set.plans[plan].overrun_cost);
         let Some(c) = self.customers.get(&customer) else { return };
         let word = self.word(c, &q, over);
         let unknown = !word.heard && (rare || !q.places && c.thin(&q));
         // Asked in vain, a slice under one request says nothing: what others were told does.
         let in_vain = unknown && rare && !c.just_heard(now);
         let known = match answered && !in_vain {
-            _ if excess => Some(true),
             true => Some(word.likely >= units),
             false => word.says(units),
         };
@@ -204,15 +199,13 @@
         self.place(customer, false, out);
         if let Some(c) = self.customers.get_mut(&customer) {
             c.settled(o.settled_units.filter(|s| s.is_finite()).map_or(0.0, |s| s - units));
-            let (q, price) = (self.quotas[c.plan], &self.set.plans[c.plan]);
+            let q = self.quotas[c.plan];
             let metered = o.metered_use.filter(|m| m.is_finite());
             metered.iter().for_each(|&m| c.ledger.seen(self.now, m));
             let units_per_s = metered.filter(|_| !q.places && !c.rare(&q)).map(|m| m * q.rate);
-            // What is passed on beyond a quota is no news to the counter.
-            let counted = self.set.counter && price.excess_worth <= price.overrun_cost;
             let more = units_per_s.is_some_and(|u| c.ledger.metered(self.now, u));
-            let told =
-                (more && counted).then(|| self.watch.doubt(self.now, Evidence::LeavesOut, &o.server.0));
+            let told = (more && self.set.counter)
+                .then(|| self.watch.doubt(self.now, Evidence::LeavesOut, &o.server.0));
             out.extend(told.flatten().map(Action::Log));
         }
         match self.requests.get(&o.request) {
--- a/crates/turndeck/src/policy/quota.rs
+++ b/crates/turndeck/src/policy/quota.rs
@@ -218,14 +218,9 @@
         let (units, Some(c)) = (p.units, self.customers.get_mut(&p.customer)) else { return true };
         let q = self.quotas[c.plan];
         c.refill(&q, self.now);
-        // Who has just heard what all have used may pass the even slice of a ceiling, inside the quota: where the
-        // ceiling is so far above it, it would hold even if the whole store were used twice.
-        let roomy = |c: Ceiling| c.depth >= 2.0 * q.most && c.rate >= 2.0 * q.rate;
-        let told = c.level >= units && c.heard_at.is_some_and(|t| self.now - t <= FRESH_US);
-        let free = |ceiling| roomy(ceiling) && told && !c.apart(&q);
         // One of many takes what the count holds for it already from the quota, all else from what the ceiling has above.
         let granted = c.credit > 0.0 && c.credit >= units && c.level >= units;
-        if c.ceiling < units && !granted && !q.ceiling.is_none_or(free) {
+        if c.ceiling < units && !granted && q.ceiling.is_some() {
             return false;
         }
         c.ceiling = if granted { c.ceiling } else { (c.ceiling - units).max(0.0) };
