--- a/crates/turndeck/tests/subsets.rs
+++ b/crates/turndeck/tests/subsets.rs
@@ -87,7 +87,6 @@
 /// only some of them use it, and each has nowhere else to go: all servers are cold.
 #[test]
 fn cold_servers_are_not_pushed_over_by_those_that_use_them() {
-    const WORK_US: Micros = 50_000;
     let cold = ColdStart { from: 0.27, warm_us: 18_000_000, tip_multiple: 4.0, tip_after_us: 3_000_000 };
     let mut to_each = std::collections::BTreeMap::<ServerId, usize>::new();
     for me in 0..GATEWAYS {
