Where gateways tell no use, nobody looks through a set for when they last did

Cause: since the module became a folder, decide() notes what others told without asking first whether they tell (told_us): for each request told_till looked through the customer's whole set, up to 300 gateways.

--- a/crates/turndeck/src/peers.rs
+++ b/crates/turndeck/src/peers.rs
@@ -40,9 +40,12 @@
 
     /// Till when the word of all others of a set of gateways counts; 0: some have not told.
     pub fn told_till(&self, set: &Settings, first: u32, width: u32) -> Micros {
+        if set.told_us == 0 {
+            return 0;
+        }
         let others = (0..width).map(|k| (first + k) % set.gateways).filter(|g| *g != set.me);
         let told = others.map(|g| self.told_at.get(&g).copied()).min().flatten();
-        told.filter(|_| set.told_us > 0).map_or(0, |at| at + set.told_us)
+        told.map_or(0, |at| at + set.told_us)
     }
 
     /// Of a customer that is not known here somebody told use; of at most so many of them.
