--- a/crates/turndeck/src/count.rs
+++ b/crates/turndeck/src/count.rs
@@ -2,7 +2,7 @@
 
 use crate::customer::{Customer, Quota, COUNT_TTL_US, RATE_TAU_US};
 use crate::interface::Micros;
-use crate::ledger::{Digits, Evidence};
+use crate::ledger::Evidence;
 use std::collections::{BTreeMap, VecDeque};
 
 const LOW_US: Micros = 300_000; // µs; a count out of step for so long is not being put right by who spoilt it
@@ -149,10 +149,3 @@
         }
     }
 }
-
-impl Digits {
-    /// Of the customer's set: it has a digit of its own.
-    pub fn counts(self) -> bool {
-        self.mine < self.width
-    }
-}
--- a/crates/turndeck/src/customer.rs
+++ b/crates/turndeck/src/customer.rs
@@ -46,12 +46,11 @@
 }
 
 impl Customer {
-    /// One that was not known yet. `place`: where this gateway stands in its set; `level`: what its bucket begins with.
-    pub fn new(tag: u32, q: &Quota, width: u32, place: u32, set: &Settings, level: f64, at: Micros) -> Self {
+    /// One that was not known yet, with an empty bucket. `place`: where this gateway stands in its set.
+    pub fn new(tag: u32, q: &Quota, width: u32, place: u32, set: &Settings, at: Micros) -> Self {
         Customer {
             tag,
             width,
-            level,
             at,
             digits: Digits::new(q.most, width, place).filter(|_| q.places && set.counter),
             first: (set.me + set.gateways - place) % set.gateways,
--- a/crates/turndeck/src/fleet.rs
+++ b/crates/turndeck/src/fleet.rs
@@ -6,6 +6,7 @@
 use crate::interface::*;
 use crate::server::{Server, Zones};
 use std::collections::BTreeMap;
+use std::sync::Arc;
 
 const ANSWER_WEIGHT: f64 = 0.2; // weight of one answer in a server's averages: about the last five
 const UNREACHABLE_WEIGHT: f64 = 0.8; // weight of a failed connection: nobody is there
@@ -25,9 +26,9 @@
 pub(crate) struct Fleet {
     pub servers: BTreeMap<ServerId, Server>,
     /// The ready ones, where there are too many to look at all; or those of them that this gateway uses.
-    pub names: Vec<ServerId>,
-    /// This gateway's part of the ready servers, if it does not use all.
-    pub part: Option<f64>,
+    pub names: Arc<[ServerId]>,
+    /// This gateway's part of the ready servers; 1: it uses all.
+    pub part: f64,
     most: usize, // looked at
     totals: Totals,
     pub zones: Zones,
@@ -39,8 +40,8 @@
     pub fn new(most: usize) -> Self {
         Fleet {
             servers: BTreeMap::new(),
-            names: Vec::new(),
-            part: None,
+            names: Arc::default(),
+            part: 1.0,
             most,
             totals: Totals::default(),
             zones: Zones::default(),
@@ -103,14 +104,14 @@
         }
         self.servers.retain(|_, s| s.health != Health::Removed || s.out > 0);
         let ready = self.servers.iter().filter(|(_, s)| s.health == Health::Ready);
-        self.names = ready.map(|(name, _)| name.clone()).collect();
-        let subset = subset(&self.names);
-        self.part = subset.as_ref().map(|s| s.len() as f64 / self.names.len() as f64);
-        match subset {
-            Some(subset) => self.names = subset,
-            None if self.names.len() <= self.most => self.names.clear(),
-            None => {}
-        }
+        let ready: Vec<ServerId> = ready.map(|(name, _)| name.clone()).collect();
+        let subset = subset(&ready);
+        self.part = subset.as_ref().map_or(1.0, |s| s.len() as f64 / ready.len() as f64);
+        self.names = match subset {
+            Some(subset) => subset.into(),
+            None if ready.len() <= self.most => Arc::default(),
+            None => ready.into(),
+        };
         self.totals = self.sum_up(cold, now);
         self.zones.keep(|zone| self.servers.values().any(|s| s.group.0 == zone));
     }
@@ -137,7 +138,7 @@
 
     /// One of many gateways meets a server rarely: what it learned must last until it meets it again.
     pub fn forget_us(&self, now: Micros) -> f64 {
-        let used = self.servers.len() as f64 * self.part.unwrap_or(1.0);
+        let used = self.servers.len() as f64 * self.part;
         FORGET_US.max(FORGET_VISITS * used / self.sends_per_s(now) * 1e6)
     }
 
--- a/crates/turndeck/src/ledger.rs
+++ b/crates/turndeck/src/ledger.rs
@@ -40,9 +40,9 @@
 #[derive(Clone, Copy)]
 pub(crate) struct Digits {
     base: i64,
-    pub width: u32,
+    width: u32,
     /// At or past the width: not of the set, which only reads.
-    pub mine: u32,
+    mine: u32,
 }
 
 impl Digits {
@@ -52,9 +52,14 @@
         (base.powi(width as i32) <= COUNT_EXACT).then_some(Digits { base: base as i64, width, mine })
     }
 
+    /// Of the customer's set: it has a digit of its own.
+    pub fn counts(self) -> bool {
+        self.mine < self.width
+    }
+
     /// What one place of this gateway adds to the count.
     pub fn weight(self) -> f64 {
-        if self.mine < self.width {
+        if self.counts() {
             (self.base as f64).powi(self.mine as i32)
         } else {
             0.0
--- a/crates/turndeck/src/peers.rs
+++ b/crates/turndeck/src/peers.rs
@@ -1,7 +1,7 @@
 //! What the other gateways told: their fractions and rates, when they last told their use, and use of customers that are
 //! not known here yet. Knowledge only.
 
-use crate::customer::RATE_TAU_US;
+use crate::customer::{Customer, RATE_TAU_US};
 use crate::decayed::Decayed;
 use crate::gossip::CellNews;
 use crate::interface::{Micros, Settings};
@@ -48,6 +48,11 @@
         told.map_or(0, |at| at + set.told_us)
     }
 
+    /// The others of a customer's set may have told again: what was let through until then they know.
+    pub fn tell(&self, set: &Settings, c: &mut Customer) {
+        c.told(self.told_till(set, c.first, c.width), set.told_us);
+    }
+
     /// Of a customer that is not known here somebody told use; of at most so many of them.
     pub fn unseen(&mut self, now: Micros, most: usize, customer: u32, units: f64) {
         if self.unseen.len() < most {
--- a/crates/turndeck/src/policy/asks.rs
+++ b/crates/turndeck/src/policy/asks.rs
@@ -13,7 +13,7 @@
 use rand_pcg::rand_core::RngCore;
 
 const NEWS_TO: u32 = 2; // peers told the fractions and rates an interval: a sample, whatever the fleet's size
-pub(super) const ASK_US: Micros = 100_000; // µs; a keeper's answer is awaited this long, twice: short beside any aim
+const ASK_US: Micros = 100_000; // µs; a keeper's answer is awaited this long, twice: short beside any aim
 const LEASE: f64 = 3.0; // mean attempts that a place given out is kept for, in case its return is lost
 const MESSAGE_BYTES: usize = 256; // bytes; longest peer message (the wire's)
 const POST_SHARE: f64 = 0.25; // of the burst slice: use is posted in lumps while the store is half full
@@ -216,33 +216,30 @@
         let Some(c) = self.customers.get_mut(&customer) else { return };
         let q = self.quotas[c.plan];
         out.extend(self.watch.answered(self.now, answered).map(Action::Log));
+        // Guards against places that two gateways see free at once, and refusals for want of units that nobody asked for, as
+        // the call only read or others have come to wait since: all that wait are in the count before they are decided.
+        let mut lacks = None;
         if status != Status::Served || !total.is_finite() {
             c.no_total(&q, amount, status.never_ran(), self.now);
         } else if c.digits.is_some() || c.by_epochs(&q) {
             c.hear_places(&q, &answer, self.now);
             c.keep(c.places.spare);
-            // Guards against places that two gateways see free at once: each held request has its place in the count
-            // before it is sent.
             let places = c.level.min(c.held.len() as f64);
             let counts = c.digits.is_some_and(|d| d.counts());
-            if counts && places + c.unposted >= 1.0 && self.calls.take(self.now, 0.0) {
-                return self.send_ask(customer, places, out);
-            }
+            lacks = (counts && places + c.unposted >= 1.0).then_some(places);
         } else {
             let part = c.part(&q, self.now);
             let (evidence, held) = c.hear_units(&q, part, &answer, self.now, || chance(&mut self.rng));
             // What the count holds for this gateway is its own, as far as there was room for it.
             c.credit = if c.apart(&q) { held } else { 0.0 };
             out.extend(evidence.and_then(|e| self.watch.doubt(self.now, e, name)).map(Action::Log));
-            // Guards against refusals for want of units that nobody asked for: the call only read, or others have come to
-            // wait since.
             let draws = |id| self.requests.get(id).map_or(0.0, |p| p.draws);
             let need: f64 = c.held.iter().map(draws).sum();
-            let lack = need - c.credit;
-            let asks = c.apart(&q) && wanted < need && lack > 0.0 && c.level >= need;
-            if asks && self.calls.take(self.now, 0.0) {
-                return self.send_ask(customer, lack, out);
-            }
+            let asks = c.apart(&q) && wanted < need && need > c.credit && c.level >= need;
+            lacks = asks.then_some(need - c.credit);
+        }
+        if let Some(lacks) = lacks.filter(|_| self.calls.take(self.now, 0.0)) {
+            return self.send_ask(customer, lacks, out);
         }
         self.answered(customer, !status.never_ran(), out);
     }
--- a/crates/turndeck/src/policy/attempts.rs
+++ b/crates/turndeck/src/policy/attempts.rs
@@ -86,10 +86,9 @@
         let (now, class, customer, units, lower) = (self.now, p.class, p.customer, p.draws, p.lower);
         let (fraction, plan) = (self.cells[p.cell].fraction, p.cell % self.set.plans.len());
         let q = self.quotas[plan];
-        self.note_told(customer);
         let Some(c) = self.customers.get_mut(&customer) else { return self.finish(id, 0.0, out) };
+        self.peers.tell(&self.set, c);
         c.refill(&q, now);
-        let c = &*c;
         let fill = if q.places { 0.0 } else { q.rate * c.part(&q, now) };
         let wait_us = if fill > 0.0 { (units - c.level).max(0.0) / fill * 1e6 } else { 0.0 };
         // Beyond the quota only what earns well is passed on, and only with servers at ease, which one of many gateways
@@ -97,8 +96,7 @@
         let (rare, busy, price) = (c.rare(&q), c.ledger.busy(now), &self.set.plans[plan]);
         let at_ease = !rare && fraction >= 1.0 && self.pace.classes.iter().all(|l| l.mean <= 2.0 * l.lowest);
         let (excess, over) = (at_ease && earns_beyond(price), price.overrun_cost);
-        let Some(c) = self.customers.get(&customer) else { return };
-        let word = self.word(c, &q, over);
+        let word = c.word(&q, over, now, self.pace.attempt_s);
         let unknown = !word.heard && (rare || !q.places && c.thin(&q));
         // Asked in vain, a slice under one request says nothing: what others were told does.
         let in_vain = unknown && rare && !c.just_heard(now);
--- a/crates/turndeck/src/policy/choice.rs
+++ b/crates/turndeck/src/policy/choice.rs
@@ -31,13 +31,12 @@
     fn cold_room(&self, name: &ServerId, s: &Server, warmth: f64) -> f64 {
         let cold = &self.set.cold;
         // Guards against gateways that have no warm server left in their subset and turn to others' cold ones.
-        if self.fleet.part.is_some() && !self.fleet.names.contains(name) {
+        if self.fleet.part < 1.0 && !self.fleet.names.contains(name) {
             return 0.0;
         }
         let core = cold.tip_multiple / self.pace.work_s * COLD_SHARE / f64::from(self.set.gateways);
         // Only those that have it in their subset send to it.
-        let part = self.fleet.part.unwrap_or(1.0);
-        let rate = warmth * core.max(COLD_GAIN * self.pace.throughput * s.share) / part;
+        let rate = warmth * core.max(COLD_GAIN * self.pace.throughput * s.share) / self.fleet.part;
         let window_s = cold.tip_after_us as f64 / 1e6;
         let saved = s.credit.0 + rate * self.now.saturating_sub(s.credit.1) as f64 / 1e6;
         saved.min((rate * window_s / 2.0).max(1.0))
@@ -54,10 +53,9 @@
                 return there;
             }
         }
-        let names = &self.fleet.names;
-        if self.fleet.part.is_some() {
-            let some = names.clone();
-            let chosen = self.cheapest(id, Some(&some));
+        let names = self.fleet.names.clone();
+        if self.fleet.part < 1.0 {
+            let chosen = self.cheapest(id, Some(&names));
             // A repeat may find only those there that had it before: then others of its cell are better.
             let new = |(server, _): &(ServerId, f64)| {
                 self.requests.get(&id).is_some_and(|p| p.attempts.iter().all(|a| a.server != *server))
@@ -82,8 +80,8 @@
     fn cheapest(&mut self, id: RequestId, of: Option<&[ServerId]>) -> Option<(ServerId, f64)> {
         let (p, now, cold) = (self.requests.get(&id)?, self.now, &self.set.cold);
         let forget_us = self.fleet.forget_us(now);
-        let part = self.fleet.part.unwrap_or(1.0);
-        let each_us = part * self.fleet.totals(cold, now).size / self.fleet.sends_per_s(now) * 1e6;
+        let used = self.fleet.part * self.fleet.totals(cold, now).size;
+        let each_us = used / self.fleet.sends_per_s(now) * 1e6;
         let unseen = 1.0 - 2.0 / f64::from(self.set.gateways);
         let zones = self.fleet.zones.at(now);
         let mut best: Option<(bool, f64, &ServerId, f64)> = None;
--- a/crates/turndeck/src/policy/quota.rs
+++ b/crates/turndeck/src/policy/quota.rs
@@ -150,6 +150,24 @@
         let above = if self.apart(q) && at != now { self.ceiling.max(self.credit) } else { f64::MAX };
         (own.max(self.level - since).min(above), most)
     }
+
+    /// What may pass here of its quota. `over`: what passing on beyond it costs, beside what it earns within.
+    pub(super) fn word(&self, q: &Quota, over: f64, now: Micros, attempt_s: f64) -> Word {
+        if self.by_peers(now) && !q.places {
+            // Until the others have told again, each keeps to its part of what is there: all see the same store.
+            let share =
+                self.by_demand(now).max(1.0 / f64::from(self.width)) * (self.level + self.spent) - self.spent;
+            let may = if self.spent == 0.0 { self.level } else { self.level.min(share) };
+            return Word { least: may, most: may, likely: may, heard: true };
+        }
+        // Not told just now, places are a guess: passed on blindly if that earns more than it costs.
+        let guessed = (self.digits.is_some() || self.by_epochs(q)) && !self.just_heard(now);
+        let free = q.most - f64::from(self.open);
+        let room = guessed.then(|| self.places.room(now, attempt_s * 1e6, free)).flatten();
+        let pays = |p: f64| if p > (1.0 - p) * over * BLIND { 1.0 } else { 0.0 };
+        let (least, most) = self.bounds(q, now);
+        Word { least, most, likely: room.map_or(self.level, pays), heard: self.heard(now) }
+    }
 }
 
 impl Gateway {
@@ -170,10 +188,10 @@
             let unseen = self.peers.unseen.remove(&tag).filter(|_| !q.places);
             let filled = |since| q.rate * now.saturating_sub(since) as f64 / 1e6;
             let known = unseen.map_or(q.most, |(used, since)| q.most - used + filled(since));
-            let first = (set.me + set.gateways - place) % set.gateways;
-            let told = !q.places && self.peers.told_till(set, first, width) > now;
+            let mut c = Customer::new(tag, q, width, place, set, at);
+            let told = !q.places && self.peers.told_till(set, c.first, width) > now;
             let most = if told { q.most } else { q.most / f64::from(width) };
-            let mut c = Customer::new(tag, q, width, place, set, known.clamp(-q.most, most), at);
+            c.level = known.clamp(-q.most, most);
             c.kept = width <= 1 || (keeper == set.me && set.peer_messages && !set.counter);
             c.keeper = keeper;
             self.customers.insert(tag, c);
@@ -184,24 +202,6 @@
         Some(c)
     }
 
-    /// What may pass here of a customer's quota. `over`: what passing on beyond it costs, beside what it earns within.
-    pub(super) fn word(&self, c: &Customer, q: &Quota, over: f64) -> Word {
-        let now = self.now;
-        if c.by_peers(now) && !q.places {
-            // Until the others have told again, each keeps to its part of what is there: all see the same store.
-            let share = c.by_demand(now).max(1.0 / f64::from(c.width)) * (c.level + c.spent) - c.spent;
-            let may = if c.spent == 0.0 { c.level } else { c.level.min(share) };
-            return Word { least: may, most: may, likely: may, heard: true };
-        }
-        // Not told just now, places are a guess: passed on blindly if that earns more than it costs.
-        let guessed = (c.digits.is_some() || c.by_epochs(q)) && !c.just_heard(now);
-        let free = q.most - f64::from(c.open);
-        let room = guessed.then(|| c.places.room(now, self.pace.attempt_s * 1e6, free)).flatten();
-        let pays = |p: f64| if p > (1.0 - p) * over * BLIND { 1.0 } else { 0.0 };
-        let (least, most) = c.bounds(q, now);
-        Word { least, most, likely: room.map_or(c.level, pays), heard: c.heard(now) }
-    }
-
     /// Exception to the even slice, for want of a call: what asks found says if passing on blindly pays, and of who asks
     /// for too much as many pass as leave the quota used in sum.
     pub(super) fn blind(&mut self, plan: usize, rare: bool, over: f64, busy: f64) -> bool {
@@ -241,11 +241,11 @@
         let now = self.now;
         heard.iter().filter(|g| **g < self.set.gateways).for_each(|g| self.peers.told(now, *g));
         for &(tag, units) in uses {
-            self.note_told(tag);
             let Some(c) = self.customers.get_mut(&tag) else {
                 self.peers.unseen(now, CUSTOMERS_MAX, tag, units);
                 continue;
             };
+            self.peers.tell(&self.set, c);
             let q = self.quotas[c.plan];
             // What the counter told already is not to be taken twice.
             if c.by_peers(now) || !c.heard(now) {
@@ -255,12 +255,4 @@
             }
         }
     }
-
-    /// The others of a customer's set have told again: what was let through until then they know.
-    pub(super) fn note_told(&mut self, customer: u32) {
-        if let Some(c) = self.customers.get_mut(&customer) {
-            let till = self.peers.told_till(&self.set, c.first, c.width);
-            c.told(till, self.set.told_us);
-        }
-    }
 }
--- a/crates/turndeck/src/subset.rs
+++ b/crates/turndeck/src/subset.rs
@@ -1,9 +1,11 @@
-//! Which part of a large fleet of servers a gateway uses: deterministic, even, and little moved as servers come and go.
+//! Which part of a large fleet of servers a gateway uses: deterministic and even, and little moved as long as the number of
+//! gateways a round stays.
 //!
 //! Gateways are dealt out in rounds. Each round puts all servers in an order of its own, by hash, and its gateways take one
 //! stretch of it each: so a round uses every server once, and whatever the number of gateways no server is in more subsets
 //! than another but for the last round's. A server that comes or goes shifts the others by one place: each gateway of a
-//! round changes one server at the most.
+//! round changes one server at the most. Where the number of ready servers passes a multiple of the least of a subset there
+//! are more or fewer gateways a round, and all is dealt out anew.
 //!
 //! Weighed: *rendezvous hashing* of each gateway by itself moves least, but a server is in as many subsets as chance will
 //! have it (a sixth more or less of 30); *an aperture* on a ring needs weights told between gateways to be even.
--- a/crates/turndeck/tests/common/mod.rs
+++ b/crates/turndeck/tests/common/mod.rs
@@ -115,6 +115,24 @@
     n
 }
 
+/// Sends one request after another, each answered after a while, and counts where they went.
+pub fn one_by_one(
+    rig: &mut Rig,
+    requests: usize,
+    pause: Micros,
+    takes: Micros,
+) -> std::collections::BTreeMap<ServerId, usize> {
+    let mut counts = std::collections::BTreeMap::new();
+    for _ in 0..requests {
+        rig.now += pause;
+        let (id, actions) = rig.request("c");
+        let server = sent(&actions).expect("sent");
+        *counts.entry(server.clone()).or_default() += 1;
+        rig.outcome(id, 0, &server, Status::Served, takes);
+    }
+    counts
+}
+
 pub fn refused(actions: &[Action]) -> bool {
     actions.iter().any(|a| matches!(a, Action::Refuse { .. }))
 }
--- a/crates/turndeck/tests/many.rs
+++ b/crates/turndeck/tests/many.rs
@@ -7,17 +7,9 @@
 
 const MANY: usize = 2_000;
 
-/// Sends one request after another, each answered at once, and counts where they went.
+/// One request a millisecond, each answered 10 ms later.
 fn spread(rig: &mut Rig, requests: usize) -> BTreeMap<ServerId, usize> {
-    let mut counts = BTreeMap::new();
-    for _ in 0..requests {
-        rig.now += 1_000;
-        let (id, actions) = rig.request("c");
-        let server = sent(&actions).expect("sent");
-        *counts.entry(server.clone()).or_default() += 1;
-        rig.outcome(id, 0, &server, Status::Served, 10_000);
-    }
-    counts
+    one_by_one(rig, requests, 1_000, 10_000)
 }
 
 #[test]
--- a/crates/turndeck/tests/replay.rs
+++ b/crates/turndeck/tests/replay.rs
@@ -11,6 +11,7 @@
 use rand_pcg::Pcg64Mcg;
 use std::collections::BTreeMap;
 use std::fmt::Write;
+use std::sync::LazyLock;
 use turndeck::*;
 
 const GOLDEN: &str = "tests/golden/replay.txt";
@@ -372,10 +373,13 @@
     text
 }
 
+/// Played once for all tests that only look at it.
+static RESULTS: LazyLock<String> = LazyLock::new(play_all);
+
 #[test]
 fn the_decisions_are_those_that_were_recorded() {
     let path = std::path::Path::new(env!("CARGO_MANIFEST_DIR")).join(GOLDEN);
-    let now = play_all();
+    let now = RESULTS.as_str();
     if std::env::var_os("RECORD").is_some() {
         return std::fs::write(path, now).expect("written");
     }
@@ -389,9 +393,8 @@
 /// Every kind of action occurs in the recorded worlds, or a digest would say little.
 #[test]
 fn the_worlds_show_all_kinds_of_actions() {
-    let text = play_all();
     let mut sums = [0u64; 8];
-    for line in text.lines().skip(1) {
+    for line in RESULTS.lines().skip(1) {
         let figures = line.split_once(": ").expect("figures").1.split(' ');
         figures.zip(&mut sums).for_each(|(f, sum)| *sum += f.parse::<u64>().unwrap_or(0));
     }
@@ -401,5 +404,5 @@
 /// The same events give the same actions, whatever else this process has done before.
 #[test]
 fn the_same_events_give_the_same_actions() {
-    assert_eq!(play_all(), play_all());
+    assert_eq!(play_all(), *RESULTS);
 }
--- a/crates/turndeck/tests/subsets.rs
+++ b/crates/turndeck/tests/subsets.rs
@@ -23,14 +23,7 @@
 
 /// So many requests, one after the other: where they went.
 fn used(rig: &mut Rig, requests: usize) -> BTreeSet<ServerId> {
-    let one = |_| {
-        rig.now += 50_000;
-        let (id, actions) = rig.request("c");
-        let server = sent(&actions).expect("sent");
-        rig.outcome(id, 0, &server, Status::Served, 50_000);
-        server
-    };
-    (0..requests).map(one).collect()
+    one_by_one(rig, requests, 50_000, 50_000).into_keys().collect()
 }
 
 #[test]
--- a/crates/turndeck/tests/wide_sets.rs
+++ b/crates/turndeck/tests/wide_sets.rs
@@ -164,21 +164,22 @@
     assert!(back >= 20, "{back} of 100 once it is back");
 }
 
+/// One of many gateways, where the plan's ceiling is twice its quota.
+fn one_with_a_ceiling(me: u32) -> Rig {
+    let mut s = Settings { gateways: GATEWAYS, counter: true, me, ..Settings::example() };
+    (s.plans[0].rate, s.plans[0].burst) = (10.0, 60.0);
+    s.plans[0].ceiling = Some(Ceiling { rate: 20.0, depth: 120.0 });
+    s.plans[0].overrun_cost = 1.0;
+    Rig::seeded(s, u64::from(me)).listing(4)
+}
+
 /// The part of a ceiling above the quota is all that passes without the count's word, by all gateways together, and the
 /// count's word passes no more than the quota: in sum the ceiling is kept whatever the calls do.
 #[test]
 fn a_ceiling_is_kept_by_all_gateways_with_and_without_the_count() {
     const SET: u32 = 10;
     for answers in [true, false] {
-        let settings = |me| {
-            let mut s = Settings { gateways: GATEWAYS, counter: true, me, ..Settings::example() };
-            (s.plans[0].rate, s.plans[0].burst) = (10.0, 60.0);
-            s.plans[0].ceiling = Some(Ceiling { rate: 20.0, depth: 120.0 });
-            s.plans[0].overrun_cost = 1.0;
-            s
-        };
-        let mut rigs: Vec<Rig> =
-            (0..SET).map(|me| Rig::seeded(settings(me), u64::from(me)).listing(4)).collect();
+        let mut rigs: Vec<Rig> = (0..SET).map(one_with_a_ceiling).collect();
         let (mut total, mut passed, mut n) = (0.0, 0.0, 0);
         const SECONDS: u64 = 10;
         for k in 0..SECONDS * 100 {
@@ -218,11 +219,7 @@
 #[test]
 fn requests_that_wait_for_anothers_call_are_asked_for_too() {
     const SET: u32 = 10;
-    let mut settings = Settings { gateways: GATEWAYS, counter: true, ..Settings::example() };
-    (settings.plans[0].rate, settings.plans[0].burst) = (10.0, 60.0);
-    settings.plans[0].ceiling = Some(Ceiling { rate: 20.0, depth: 120.0 });
-    settings.plans[0].overrun_cost = 1.0;
-    let mut rig = Rig::seeded(settings, 3).listing(4);
+    let mut rig = one_with_a_ceiling(0);
     let asks = |r: &mut Request| (r.width, r.units) = (SET, 3.0);
     // What the slice above the quota holds at the start is nothing, so all goes by the count.
     let (first, actions) = rig.ask(asks);
