--- a/crates/accord/src/keeper.rs
+++ b/crates/accord/src/keeper.rs
@@ -76,9 +76,11 @@
     /// The answer, and whether the state has to be on disk before it goes out.
     pub fn ask(&mut self, now: u64, ask: Ask) -> (Answer, bool) {
         match ask {
-            Ask::Prepare(ballot) if ballot > self.state.promised => {
+            // Asked again it says so again: the answer may have been lost.
+            Ask::Prepare(ballot) if ballot >= self.state.promised => {
+                let news = ballot > self.state.promised;
                 self.state.promised = ballot;
-                (Answer::Promised(ballot, self.state.accepted), true)
+                (Answer::Promised(ballot, self.state.accepted), news)
             }
             Ask::Accept(ballot, policy) if ballot >= self.state.promised => {
                 let was = self.state.accepted.as_ref().map(|(b, p)| (p.id(), *b));
@@ -87,13 +89,14 @@
                 if another && was.is_some() && now < self.turn {
                     return (Answer::Busy(self.turn - now), false);
                 }
+                let news = self.state.promised != ballot || self.state.accepted != Some((ballot, policy));
                 self.state.promised = ballot;
                 self.state.accepted = Some((ballot, policy));
                 if another {
                     self.before = was;
                     self.turn = now + self.times.lease_us;
                 }
-                (Answer::Accepted(ballot), true)
+                (Answer::Accepted(ballot), news)
             }
             Ask::Prepare(_) | Ask::Accept(..) => (Answer::Outrun(self.state.promised), false),
             Ask::Lease => (Answer::Lease(self.grant(now)), false),
--- a/crates/accord/src/node.rs
+++ b/crates/accord/src/node.rs
@@ -130,6 +130,8 @@
     seen: BTreeMap<String, u64>,
     proposals: BTreeMap<u64, Proposal>,
     wants: BTreeMap<[u8; 32], Wanted>,
+    /// Asked by whom under what number, and not answered yet as the document is on its way.
+    checks: BTreeMap<(String, u64), Policy>,
     inbox: VecDeque<Letter>,
     apart_since: Option<u64>,
     standing: Standing,
@@ -154,6 +156,7 @@
             seen: BTreeMap::new(),
             proposals: BTreeMap::new(),
             wants: BTreeMap::new(),
+            checks: BTreeMap::new(),
             inbox: VecDeque::new(),
             apart_since: None,
             standing: Standing::Lost,
@@ -333,8 +336,9 @@
         let number = self.rng.next_u64() >> 1 | 1;
         let members = there.to_vec();
         let of: BTreeSet<u64> = (1..=members.len() as u64).collect();
+        let above = self.tenant.highest_ballot();
         let (keepers, patience, again) = (self.plan.keepers.len(), self.plan.patience_us, self.plan.again_us);
-        let proposer = Proposer::new(now, number, policy, of, keepers, patience, again);
+        let proposer = Proposer::new(now, number, above, policy, of, keepers, patience, again);
         self.proposals.insert(number, Proposal { proposer, policy, members, began: now, ended: 0 });
         Ok(number)
     }
@@ -417,8 +421,13 @@
             }
             Letter::Check { number, policy } => match self.judged(&policy.id()) {
                 Some(says) => self.send(from, Letter::checked(number, says), out),
-                // Once it has come the proposer has asked again.
-                None => self.want(now, policy.digest, from),
+                // Once it has come it is answered.
+                None => {
+                    self.want(now, policy.digest, from);
+                    if self.checks.len() < MOST_WANTED {
+                        self.checks.insert((from.into(), number), policy);
+                    }
+                }
             },
             Letter::Checked { number, why } => {
                 let Some(p) = self.proposals.get_mut(&number) else { return };
@@ -439,6 +448,9 @@
                 if self.texts.came(&digest, at, of, bytes) {
                     self.wants.remove(&digest);
                     self.unsettle();
+                    for ((from, number), policy) in std::mem::take(&mut self.checks) {
+                        self.take(now, &from, Letter::Check { number, policy }, out);
+                    }
                 }
             }
         }
@@ -521,6 +533,17 @@
         }
         self.tenant.granted(at, now, keeper, grant);
         self.unsettle();
+        self.catch_up();
+    }
+
+    /// As a keeper: it accepts late what it was not there to accept.
+    fn catch_up(&mut self) {
+        let Some(own) = self.own.as_ref().filter(|own| own.silent.is_none()) else { return };
+        let mine = own.keeper.state().accepted.map_or(0, |(_, p)| p.version);
+        if let Some((ballot, policy)) = self.tenant.chosen().filter(|(_, p)| p.version > mine) {
+            let (number, seen, ask) = (0, 0, Ask::Accept(ballot, policy));
+            self.inbox.push_back(Letter::Ask { number, seen, ask });
+        }
     }
 
     fn want(&mut self, now: u64, digest: [u8; 32], from: &str) {
--- a/crates/accord/src/proposer.rs
+++ b/crates/accord/src/proposer.rs
@@ -45,17 +45,22 @@
     till: u64,
     next: u64,
     again_us: u64,
+    /// A higher ballot was promised: this one gets no further.
+    outrun: bool,
+    tries: u32,
     /// Some keeper may have accepted what it wants.
     sent: bool,
     end: Option<End>,
 }
 
 impl Proposer {
-    /// `members`: who has to say that they can take it; `again_us`: after so long without a majority it tries again, with a higher
-    /// ballot.
+    /// `members`: who has to say that they can take it; `again_us`: after so long without a majority it asks again; `above`: the
+    /// highest ballot that was heard of.
+    #[allow(clippy::too_many_arguments)]
     pub fn new(
         now: u64,
         id: u64,
+        above: u64,
         wants: Option<Policy>,
         members: BTreeSet<u64>,
         keepers: usize,
@@ -66,11 +71,13 @@
             keepers,
             step: Step::Checking { yes: BTreeSet::new(), of: members },
             wants,
-            ballot: Ballot { number: 0, proposer: id },
+            ballot: Ballot { number: above, proposer: id },
             checks_till: now + patience_us / 2,
             till: now + patience_us,
             next: now,
             again_us,
+            outrun: true,
+            tries: 0,
             sent: false,
             end: None,
         }
@@ -125,6 +132,7 @@
 
     fn prepare(&mut self, now: u64, out: &mut Vec<Out>) {
         self.ballot.number += 1;
+        (self.outrun, self.tries) = (false, self.tries + 1);
         self.step = Step::Preparing { promises: BTreeMap::new() };
         self.next = now + self.again_us;
         out.push(Out::Keepers(Ask::Prepare(self.ballot)));
@@ -133,7 +141,14 @@
     pub fn answered(&mut self, now: u64, keeper: u64, answer: Answer, out: &mut Vec<Out>) {
         let most = majority(self.keepers);
         match answer {
-            Answer::Outrun(higher) => self.ballot.number = self.ballot.number.max(higher.number),
+            Answer::Outrun(higher) if higher > self.ballot && !matches!(self.step, Step::Done) => {
+                self.ballot.number = higher.number;
+                // Of two that outrun each other one waits longer than the other, and longer each time.
+                let wait = self.again_us / 16 * (1 + self.ballot.proposer % 7) << self.tries.min(4);
+                if !std::mem::replace(&mut self.outrun, true) {
+                    self.next = now + wait;
+                }
+            }
             Answer::Promised(ballot, was) if ballot == self.ballot => {
                 let Step::Preparing { promises } = &mut self.step else { return };
                 promises.insert(keeper, was);
@@ -180,7 +195,8 @@
                 }
             }
             // Asked again in time.
-            Answer::Busy(_) | Answer::Promised(..) | Answer::Accepted(_) | Answer::Lease(_) => {}
+            Answer::Busy(left) => self.next = self.next.min(now + left),
+            Answer::Outrun(_) | Answer::Promised(..) | Answer::Accepted(_) | Answer::Lease(_) => {}
         }
     }
 
@@ -213,7 +229,14 @@
             return self.ends(end, out);
         }
         if now >= self.next {
-            self.prepare(now, out);
+            // What it asked or what was answered may have been lost.
+            let again = match &self.step {
+                Step::Preparing { .. } if !self.outrun => Ask::Prepare(self.ballot),
+                Step::Accepting { value, .. } if !self.outrun => Ask::Accept(self.ballot, *value),
+                _ => return self.prepare(now, out),
+            };
+            self.next = now + self.again_us;
+            out.push(Out::Keepers(again));
         }
     }
 }
--- a/crates/accord/src/tenant.rs
+++ b/crates/accord/src/tenant.rs
@@ -23,14 +23,14 @@
     leases: BTreeMap<u64, Vec<Lease>>,
     policies: BTreeMap<Id, Policy>,
     /// Those that a majority accepted by one ballot: they are chosen for good, by whatever ballot keepers hold them later.
-    chosen: BTreeSet<Id>,
+    chosen: BTreeMap<Id, Ballot>,
     /// The highest version it was ever in: it goes back to none below.
     high: u64,
 }
 
 impl Tenant {
     pub fn new(times: Times, keepers: usize) -> Tenant {
-        let (leases, policies, chosen) = (BTreeMap::new(), BTreeMap::new(), BTreeSet::new());
+        let (leases, policies, chosen) = (BTreeMap::new(), BTreeMap::new(), BTreeMap::new());
         Tenant { times, keepers, leases, policies, chosen, high: 0 }
     }
 
@@ -56,7 +56,7 @@
         let leased: BTreeSet<Id> = self.leases.values().flatten().map(|l| l.id).collect();
         let high = self.high;
         self.policies.retain(|id, _| leased.contains(id) || id.version == high);
-        self.chosen.retain(|id| id.version >= high);
+        self.chosen.retain(|id, _| id.version >= high);
     }
 
     /// What keepers said that they accepted they did accept, if long ago.
@@ -64,7 +64,7 @@
         let mut votes: BTreeMap<(Id, Ballot), usize> = BTreeMap::new();
         self.leases.values().flatten().for_each(|l| *votes.entry((l.id, l.ballot)).or_default() += 1);
         let most = majority(self.keepers);
-        self.chosen.extend(votes.into_iter().filter(|(_, n)| *n >= most).map(|((id, _), _)| id));
+        self.chosen.extend(votes.into_iter().filter(|(_, n)| *n >= most).map(|(vote, _)| vote));
     }
 
     /// The policy under which a request may be let in now; none: under none.
@@ -82,7 +82,7 @@
             valid.for_each(|l| *votes.entry(l.id).or_default() += 1);
         }
         let most = majority(self.keepers);
-        let may = |id: &Id| id.version >= self.high && self.chosen.contains(id);
+        let may = |id: &Id| id.version >= self.high && self.chosen.contains_key(id);
         votes.into_iter().filter(|(id, n)| *n >= most && may(id)).map(|(id, _)| id).max()
     }
 
@@ -102,12 +102,23 @@
         self.leases.values().flatten().flat_map(|l| [l.from, l.till])
     }
 
+    /// The last that is known to be chosen, and by which ballot: any keeper may accept it by that.
+    pub fn chosen(&self) -> Option<(Ballot, Policy)> {
+        let (id, ballot) = self.chosen.last_key_value()?;
+        Some((*ballot, *self.policies.get(id)?))
+    }
+
+    /// The highest ballot that keepers told of.
+    pub fn highest_ballot(&self) -> u64 {
+        self.leases.values().flatten().map(|l| l.ballot.number).max().unwrap_or(0)
+    }
+
     /// Keepers that were heard of late hold different policies, or one that is not chosen: somebody stopped half way.
     pub fn apart(&self, now: u64) -> bool {
         let fresh = |l: &&Lease| now < l.till;
         let last: Vec<&Lease> = self.leases.values().filter_map(|all| all.last()).filter(fresh).collect();
         let Some(first) = last.first() else { return false };
-        last.iter().any(|l| l.id != first.id || !self.chosen.contains(&l.id))
+        last.iter().any(|l| l.id != first.id || !self.chosen.contains_key(&l.id))
     }
 
     /// The highest version that was ever held.
--- /dev/null
+++ b/crates/accord/tests/nodes.rs
@@ -0,0 +1,442 @@
+//! The machine that runs, whole: five members of whom three keep, documents in parts, checks, writes that take time and may be cut off,
+//! letters late, lost, twice and out of order, parts that do not hear each other, members that stop and start, clocks that drift. By
+//! drawn schedules; what is checked is what `docs/policy-changes.md` promises, by its numbers.
+
+use frosthatch_accord::document::{hex, sha256, Document};
+use frosthatch_accord::node::{Node, OnLost, Out, Plan, Standing};
+use frosthatch_accord::proposer::End;
+use frosthatch_accord::record::Record;
+use frosthatch_accord::{Id, Times};
+use std::collections::{BTreeMap, BTreeSet};
+
+const TIMES: Times = Times { lease_us: 500_000, drift: 10 };
+const ALL: usize = 5;
+const KEEPERS: usize = 3;
+const STEP: u64 = 10_000;
+const PATIENCE: u64 = 6_000_000;
+
+/// One member: what runs, and what is on its disk.
+struct Member {
+    node: Option<Node>,
+    disk: Option<Record>,
+    /// Being written: when it is done.
+    writing: Option<(u64, Record)>,
+    from: u64,
+    rate: u64,
+    stopped: bool,
+    life: u64,
+    /// Letters that come while it is stopped.
+    waiting: Vec<(usize, Vec<u8>)>,
+}
+
+struct World {
+    now: u64,
+    state: u64,
+    members: Vec<Member>,
+    letters: Vec<(u64, usize, usize, Vec<u8>)>,
+    parts: [usize; ALL],
+    loss: u64,
+    trouble: bool,
+    on_lost: OnLost,
+    proposed: BTreeMap<(usize, u64, u64), (Id, String)>,
+    ended: BTreeSet<(usize, u64, u64)>,
+    in_force: BTreeMap<u64, Id>,
+    nowhere: BTreeSet<Id>,
+    held: BTreeSet<Id>,
+    high: u64,
+    /// Steps in which one that runs held nothing while the keepers were well.
+    without: usize,
+}
+
+/// No gateway takes a class that is worth this; one takes none that is worth that.
+const NOBODY: &str = "13.0";
+const NOT_THE_LAST: &str = "7.0";
+
+fn text(version: u64, parent: [u8; 32], worth: &str, rate: u64) -> String {
+    let parent = if version > 1 { format!("parent = \"{}\"\n", hex(&parent)) } else { String::new() };
+    // Long enough for several parts.
+    let padding = "# some words\n".repeat(130);
+    format!("version = {version}\n{parent}{padding}[plans.p]\nrate = {rate}\nburst = 9\n[classes.c]\naim_ms = 5\nworth = {worth}\nlate_worth = 0\n")
+}
+
+fn name(n: usize) -> String {
+    format!("n{n}")
+}
+
+impl World {
+    fn new(seed: u64, on_lost: OnLost) -> World {
+        let mut w = World {
+            now: 5_000_000,
+            state: seed.wrapping_mul(0x9E37_79B9_7F4A_7C15) | 1,
+            members: Vec::new(),
+            letters: Vec::new(),
+            parts: [0; ALL],
+            loss: 0,
+            trouble: true,
+            on_lost,
+            proposed: BTreeMap::new(),
+            ended: BTreeSet::new(),
+            in_force: BTreeMap::new(),
+            nowhere: BTreeSet::new(),
+            held: BTreeSet::new(),
+            high: 0,
+            without: 0,
+        };
+        for n in 0..ALL {
+            let (from, rate) = (w.below(1_000_000_000), 990 + w.below(21));
+            let disk = (n < KEEPERS).then(|| Record::first(&name(n)));
+            let waiting = Vec::new();
+            w.members.push(Member {
+                node: None,
+                disk,
+                writing: None,
+                from,
+                rate,
+                stopped: false,
+                life: 0,
+                waiting,
+            });
+            w.start(n);
+        }
+        w
+    }
+
+    fn below(&mut self, n: u64) -> u64 {
+        self.state = self.state.wrapping_mul(0x5851_F42D_4C95_7F2D).wrapping_add(0x1405_7B7E_F767_814F);
+        (self.state >> 33) % n.max(1)
+    }
+
+    fn at(&self, n: usize) -> u64 {
+        self.members[n].from + self.now * self.members[n].rate / 1_000
+    }
+
+    fn start(&mut self, n: usize) {
+        let (at, seed) = (self.at(n), self.state);
+        let plan = Plan {
+            me: name(n),
+            keepers: (0..KEEPERS).map(name).collect(),
+            times: TIMES,
+            patience_us: PATIENCE,
+            again_us: 150_000,
+            on_lost: self.on_lost,
+            seed,
+        };
+        let judge = move |d: &Document| match d.classes["c"].worth {
+            13.0 => Err("nobody takes it".to_string()),
+            7.0 if n == ALL - 1 => Err("I do not take it".to_string()),
+            _ => Ok(()),
+        };
+        let m = &mut self.members[n];
+        m.life += 1;
+        m.node = Some(Node::new(at, plan, m.disk.clone().map(Ok), Box::new(judge)));
+    }
+
+    /// SIGKILL: what was being written is on disk or is not.
+    fn kill(&mut self, n: usize) {
+        let done = self.below(2) == 0;
+        let m = &mut self.members[n];
+        if let Some((_, record)) = m.writing.take().filter(|_| done) {
+            m.disk = Some(record);
+        }
+        (m.node, m.stopped, m.waiting) = (None, false, Vec::new());
+    }
+
+    fn outs(&mut self, n: usize, out: Vec<Out>) {
+        for o in out {
+            match o {
+                Out::Send { to, bytes } => {
+                    let to: usize = to[1..].parse().expect("a number");
+                    let draws = [self.below(100), self.below(100)];
+                    let copies = match draws[0] {
+                        d if d < self.loss => 0,
+                        d if self.trouble && d > 95 => 2,
+                        _ => 1,
+                    };
+                    for _ in 0..copies {
+                        let late = if self.trouble && draws[1] < 5 {
+                            self.below(2_000_000)
+                        } else {
+                            self.below(15_000)
+                        };
+                        self.letters.push((self.now + late, n, to, bytes.clone()));
+                    }
+                }
+                Out::Store(record) => {
+                    let takes = self.below(30_000);
+                    self.members[n].writing = Some((self.now + takes, record));
+                }
+                Out::Log(line) => {
+                    if std::env::var_os("SHOW").is_some() {
+                        eprintln!("{:.2} n{n} {line}", self.now as f64 / 1e6);
+                    }
+                }
+            }
+        }
+        self.ends(n);
+    }
+
+    /// I3, I4, I5: what those who proposed at this member are told.
+    fn ends(&mut self, n: usize) {
+        let Some(node) = &self.members[n].node else { return };
+        let ended: Vec<_> = node.proposals().filter_map(|p| Some((p.number, p.end?))).collect();
+        for (number, end) in ended {
+            let key = (n, self.members[n].life, number);
+            let Some((id, _)) = self.proposed.get(&key).cloned() else { continue };
+            if !self.ended.insert(key) {
+                continue;
+            }
+            match end {
+                End::InForce => {
+                    let other = self.in_force.insert(id.version, id);
+                    assert!(other.is_none_or(|o| o == id), "I5: two of one version in force");
+                    assert!(!self.nowhere.contains(&id), "I3: one that was told to be nowhere is in force");
+                }
+                End::Refused(_) | End::Lost(_) => {
+                    assert!(!self.held.contains(&id), "I3: one that holds was told to be nowhere");
+                    assert!(
+                        !self.in_force.values().any(|i| *i == id),
+                        "I4: one in force was told to be nowhere"
+                    );
+                    self.nowhere.insert(id);
+                }
+                End::Open => {}
+            }
+        }
+    }
+
+    fn there(&self, n: usize) -> Vec<String> {
+        // As members would find out: who runs and is heard.
+        let heard = |m: &usize| {
+            let of = &self.members[*m];
+            *m != n && of.node.is_some() && !of.stopped && self.parts[*m] == self.parts[n]
+        };
+        (0..ALL).filter(heard).map(name).collect()
+    }
+
+    /// I1, I2: under what a request would be let in now.
+    fn look(&mut self, n: usize) {
+        let at = self.at(n);
+        let Some(node) = &mut self.members[n].node else { return };
+        let Standing::Under(id, with) = node.standing(at) else {
+            self.without += 1;
+            return;
+        };
+        assert!(
+            id.version >= self.high || with.is_some(),
+            "I1, I2: n{n} under {} after {}",
+            id.version,
+            self.high
+        );
+        assert!(!self.nowhere.contains(&id), "I3: one that was told to be nowhere holds");
+        let fork = self.held.iter().any(|h| h.version == id.version && *h != id);
+        assert!(!fork, "I5: two of one version hold");
+        self.high = self.high.max(id.version);
+        self.held.insert(id);
+    }
+
+    fn step(&mut self) {
+        self.now += STEP;
+        let now = self.now;
+        let due: Vec<_> = {
+            let (due, rest) = std::mem::take(&mut self.letters).into_iter().partition(|(at, ..)| *at <= now);
+            self.letters = rest;
+            due
+        };
+        for (_, from, to, bytes) in due {
+            if self.parts[from] == self.parts[to] {
+                if self.members[to].stopped {
+                    self.members[to].waiting.push((from, bytes));
+                } else {
+                    self.deliver(from, to, &bytes);
+                }
+            }
+        }
+        for n in 0..ALL {
+            if self.members[n].node.is_none() || self.members[n].stopped {
+                continue;
+            }
+            // What it decides on first when it goes on.
+            self.look(n);
+            let (at, there) = (self.at(n), self.there(n));
+            let mut out = Vec::new();
+            let m = &mut self.members[n];
+            if m.writing.as_ref().is_some_and(|(done, _)| *done <= now) {
+                m.disk = m.writing.take().map(|(_, record)| record);
+                m.node.iter_mut().for_each(|node| node.stored(at, Ok(()), &mut out));
+            }
+            m.node.iter_mut().for_each(|node| node.tick(at, &there, &mut out));
+            self.outs(n, out);
+            self.look(n);
+        }
+    }
+
+    fn deliver(&mut self, from: usize, to: usize, bytes: &[u8]) {
+        let (at, mut out) = (self.at(to), Vec::new());
+        let Some(node) = &mut self.members[to].node else { return };
+        node.letter(at, &name(from), bytes, &mut out);
+        self.outs(to, out);
+    }
+
+    fn propose(&mut self, n: usize) {
+        let worth = ["1.0", "2.0", "3.0", NOT_THE_LAST, NOBODY][self.below(5) as usize];
+        let (at, there, rate) = (self.at(n), self.there(n), self.below(1 << 29));
+        let Some(node) = &mut self.members[n].node else { return };
+        // What it held last; now and then that is not the last.
+        let on = node.history().last().map(|(id, _)| *id).unwrap_or_default();
+        let text = text(on.version + 1, on.digest, worth, rate);
+        let (id, mut out) = (Id { version: on.version + 1, digest: sha256(&text) }, Vec::new());
+        match node.propose(at, &text, &there, &mut out) {
+            Ok(number) => drop(self.proposed.insert((n, self.members[n].life, number), (id, worth.into()))),
+            // At once: it never was anywhere.
+            Err(why) => {
+                if std::env::var_os("SHOW").is_some() {
+                    eprintln!("{:.2} n{n} not begun: {why}", self.now as f64 / 1e6);
+                }
+                self.nowhere.insert(id);
+            }
+        }
+        self.outs(n, out);
+    }
+
+    fn troubles(&mut self) {
+        let n = self.below(ALL as u64) as usize;
+        match self.below(130) {
+            0 => self.kill(n),
+            1 if self.below(4) == 0 => (0..ALL).for_each(|n| self.kill(n)),
+            2..8 if self.members[n].node.is_none() => self.start(n),
+            8 => self.members[n].stopped = self.members[n].node.is_some(),
+            9..14 => self.goes_on(n),
+            14 => self.parts = std::array::from_fn(|_| self.below(2) as usize),
+            15 | 16 => self.parts = [0; ALL],
+            17 => self.loss = [0, 10, 30][self.below(3) as usize],
+            18..21 if !self.members[n].stopped => self.propose(n),
+            _ => {}
+        }
+    }
+
+    fn goes_on(&mut self, n: usize) {
+        if std::mem::take(&mut self.members[n].stopped) {
+            // Its very next request comes before anything that waits for it.
+            self.look(n);
+            for (from, bytes) in std::mem::take(&mut self.members[n].waiting) {
+                self.deliver(from, n, &bytes);
+            }
+        }
+    }
+
+    fn all_well(&mut self) {
+        (self.trouble, self.loss, self.parts) = (false, 0, [0; ALL]);
+        for n in 0..ALL {
+            self.goes_on(n);
+            if self.members[n].node.is_none() {
+                self.start(n);
+            }
+        }
+    }
+
+    fn run(&mut self, us: u64) {
+        (0..us / STEP).for_each(|_| self.step());
+    }
+
+    fn standings(&mut self) -> Vec<Standing> {
+        let at: Vec<u64> = (0..ALL).map(|n| self.at(n)).collect();
+        let nodes = self.members.iter_mut().zip(at);
+        nodes.filter_map(|(m, at)| m.node.as_mut().map(|node| node.standing(at))).collect()
+    }
+}
+
+fn play(seeds: std::ops::Range<u64>, on_lost: OnLost) -> (usize, usize) {
+    let (mut changes, mut nowhere) = (0, 0);
+    for seed in seeds {
+        let mut w = World::new(seed, on_lost);
+        w.run(1_000_000);
+        for _ in 0..2_500 {
+            w.troubles();
+            w.step();
+        }
+        w.all_well();
+        w.run(PATIENCE + 4_000_000);
+        let standings = w.standings();
+        let last = w.in_force.last_key_value().map_or(0, |(v, _)| *v);
+        let Standing::Under(id, None) = standings[0] else { panic!("seed {seed}: {standings:?}") };
+        // One that was not there may not be able to serve under what was decided: then it refuses.
+        let cannot = w.proposed.values().any(|(i, worth)| *i == id && worth == NOT_THE_LAST);
+        let same =
+            |(n, s): (usize, &Standing)| *s == standings[0] || cannot && n == ALL - 1 && *s == Standing::Lost;
+        assert!(standings.iter().enumerate().all(same), "seed {seed}: {standings:?}");
+        assert!(id.version >= last, "seed {seed}: I4: {last} was told as in force, {} is held", id.version);
+        assert!(w.in_force.get(&id.version).is_none_or(|i| *i == id), "seed {seed}: I4");
+        // And it can be changed.
+        let before = w.in_force.len();
+        let mut proposed = false;
+        for n in 0..ALL {
+            // Until one is drawn that all take.
+            for _ in 0..3 {
+                if w.in_force.len() == before {
+                    w.propose(n);
+                    w.run(3_000_000);
+                    proposed = true;
+                }
+            }
+        }
+        assert!(proposed && w.in_force.len() > before, "seed {seed}: nothing can be changed any more");
+        (changes, nowhere) = (changes + w.in_force.len(), nowhere + w.nowhere.len());
+    }
+    (changes, nowhere)
+}
+
+#[test]
+fn no_schedule_breaks_the_promise() {
+    let (changes, nowhere) = play(0..120, OnLost::Refuse);
+    println!("{changes} changes in force, {nowhere} nowhere");
+    assert!(changes > 300 && nowhere > 300, "{changes} {nowhere}: the schedules show both");
+}
+
+#[test]
+fn nor_where_the_stricter_of_both_is_served_without_a_lease() {
+    let (changes, _) = play(1_000..1_030, OnLost::Stricter);
+    assert!(changes > 60, "{changes}");
+}
+
+/// One way down of three keepers, and ten changes: nobody is without a lease but for its turns.
+#[test]
+fn a_keeper_that_is_gone_costs_nothing_and_one_that_comes_back_catches_up() {
+    let mut w = World::new(3, OnLost::Refuse);
+    w.trouble = false;
+    w.run(2_000_000);
+    w.kill(1);
+    w.without = 0;
+    w.run(5_000_000);
+    assert_eq!(w.without, 0, "looks at which a gateway had no lease");
+    for version in 1..=10 {
+        while w.high < version {
+            w.propose(4);
+            w.run(2_500_000);
+        }
+    }
+    println!("{} looks without a lease in ten turns", w.without);
+    // Two looks a step: 2% of a lease for drift, twice, the way there and back, and a step.
+    assert!(w.without <= 10 * ALL * 2 * 7, "{}", w.without);
+    w.start(1);
+    w.run(1_500_000);
+    let record = w.members[1].disk.clone().expect("it keeps");
+    assert_eq!(record.durable.accepted.map(|(_, p)| p.version), Some(w.high), "it has caught up by itself");
+}
+
+/// A change that a member cannot take is told with that member's name, and is nowhere.
+#[test]
+fn who_cannot_take_it_is_named() {
+    let mut w = World::new(4, OnLost::Refuse);
+    w.trouble = false;
+    w.run(2_000_000);
+    let (at, there, mut out) = (w.at(1), w.there(1), Vec::new());
+    let text = text(1, [0; 32], NOT_THE_LAST, 5);
+    let node = w.members[1].node.as_mut().expect("it runs");
+    let number = node.propose(at, &text, &there, &mut out).expect("it is asked about");
+    w.outs(1, out);
+    w.run(1_000_000);
+    let node = w.members[1].node.as_ref().expect("it runs");
+    let shown = node.proposals().find(|p| p.number == number).expect("it is known");
+    assert_eq!(shown.why, [("n4".to_string(), "I do not take it".to_string())]);
+    assert_eq!(w.high, 0);
+}
--- a/crates/accord/tests/promise.rs
+++ b/crates/accord/tests/promise.rs
@@ -111,7 +111,16 @@
     fn propose(&mut self, policy: Option<Policy>) -> usize {
         let id = self.proposers.len();
         let (now, nobody) = (self.now, BTreeSet::new());
-        self.proposers.push(Proposer::new(now, id as u64 + 1, policy, nobody, KEEPERS, 4_000_000, 150_000));
+        self.proposers.push(Proposer::new(
+            now,
+            id as u64 + 1,
+            0,
+            policy,
+            nobody,
+            KEEPERS,
+            4_000_000,
+            150_000,
+        ));
         id
     }
 
--- a/crates/lab/src/members.rs
+++ b/crates/lab/src/members.rs
@@ -2,15 +2,13 @@
 //! know, who is accused wrongly, what it costs on the network, and whether clients see any of it.
 
 use crate::figures::Figures;
-use crate::load::{self, Got, Load, Shape, CHECK, TOP_UP};
-use crate::rig::{fleet_file, Act, Faults, Process, Relay, Stage};
-use crate::servers::{Meter, Server};
-use crate::site::{cpu, pause, Node};
-use frosthatch_standins::{config_file, started, target, Discovery};
+use crate::fleet_site::{listed, Site, KNOWN_WITHIN};
+use crate::rig::{Act, Faults};
+use crate::servers::Server;
+use crate::site::{cpu, pause};
+use frosthatch_standins::started;
 use rand_pcg::rand_core::{RngCore, SeedableRng};
 use rand_pcg::Pcg64Mcg;
-use std::net::SocketAddr;
-use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 use tokio::runtime::Runtime;
 
@@ -18,9 +16,6 @@
 /// The place of a second process under another's name.
 const TWIN: usize = ALL;
 const SEEDS: u64 = 5;
-const PER_S: f64 = 300.0;
-/// How long all may take to know something, and to agree after the last heal.
-const KNOWN_WITHIN: Duration = Duration::from_secs(20);
 
 /// What one seed showed.
 #[derive(Default)]
@@ -82,160 +77,23 @@
     figures.at_least("served", sum(|r| r.served) / sum(|r| r.asked), "of-asked", 0.99);
 }
 
-/// A customer with a ceiling who asks for three times that: key, requests a second, ceiling, its depth.
-const GREEDY: (u32, f64, f64, f64) = (9_001, 60.0, 20.0, 40.0);
-
-/// The list: each server remembers repeats for itself; the first one's state, and what else there is.
-fn listed(servers: &[Server], first: &str, more: &str) -> String {
-    let state = |n| if n == 0 { first } else { "Ready" };
-    let one = |(n, s): (usize, &Server)| target(&format!("s{n}"), s.address, n as u64, state(n));
-    let list: Vec<String> = servers.iter().enumerate().map(one).collect();
-    list.join(",") + more
-}
-
-/// Where clients may go now, and how often that changed for each.
-#[derive(Clone, Copy)]
-struct Place {
-    at: Option<SocketAddr>,
-    moves: u64,
-}
-
-struct Site {
-    stage: Stage,
-    places: Arc<Mutex<Vec<Place>>>,
-    servers: Vec<Server>,
-    meter: Arc<Meter>,
-    agent: Discovery,
-    key: std::path::PathBuf,
-}
-
-impl Site {
-    fn new(on: &tokio::runtime::Handle, seed: u64) -> Site {
-        let meter = Meter::new([(GREEDY.0, 10.0)].into_iter());
-        let anywhere: SocketAddr = ([127, 0, 0, 1], 0).into();
-        let server = |_| Server::with_meter(on, anywhere, false, Some(meter.clone()));
-        let servers: Vec<Server> = (0..8).map(server).collect();
-        let agent = Discovery::new(&listed(&servers, "Ready", ""));
-        let relay = Relay::new(on, ALL + 1, seed);
-        let key = config_file("a key of the lab's own, long enough for all");
-        let processes = (0..=ALL).map(|n| {
-            let me = if n == TWIN { 7 } else { n };
-            let discovery = agent.address;
-            let node = Node { gateways: ALL, me, discovery, counter: None, sockets: 512, memory_mb: 64 };
-            let more = format!(
-                "name = \"n{me}\"\nregion = \"r{}\"\nzone = \"z{}\"\nforget_ms = 60000",
-                me % 2,
-                me % 4
-            );
-            Process::new(node, Some(fleet_file(&relay, n, &key, &more)))
-        });
-        let stage = Stage::new(processes.collect(), relay);
-        let places = Arc::new(Mutex::new(vec![Place { at: None, moves: 0 }; ALL + 1]));
-        Site { stage, places, servers, meter, agent, key }
-    }
-
-    /// Clients go to those that run, from now on.
-    fn open(&self) {
-        for (place, p) in self.places.lock().expect("places").iter_mut().zip(&self.stage.processes) {
-            let at = p.address().filter(|_| p.runs());
-            if at != place.at {
-                *place = Place { at, moves: place.moves + 1 };
-            }
-        }
-    }
-
-    /// Clients go there no more.
-    fn shut(&self, who: &[usize]) {
-        let mut places = self.places.lock().expect("places");
-        who.iter().for_each(|w| places[*w] = Place { at: None, moves: places[*w].moves + 1 });
-    }
-
-    fn act(&mut self, act: Act) {
-        if let Act::Kill { who } | Act::Stop { who } | Act::Leave { who } = &act {
-            self.shut(who);
-            // What was on its way has its answer.
-            if matches!(act, Act::Leave { .. }) {
-                pause(Duration::from_millis(20));
-            }
-        }
-        self.stage.act(&act);
-        if let Act::Start { who } = &act {
-            who.iter().for_each(|w| self.stage.wait_ready(*w));
-            self.open();
-        }
-        if let Act::Continue { .. } = &act {
-            self.open();
-        }
-    }
-
-    /// Seconds from `since` until so many processes have logged such a line about each of these; none: not within the time.
-    fn known(&self, since: Duration, whom: &[usize], what: &str, by: usize) -> Option<f64> {
-        let begun = Instant::now();
-        loop {
-            let lines = self.stage.history.lines(what);
-            let of = |n: &usize| {
-                let name = format!("member n{n}: ");
-                let mut seen: Vec<(Duration, usize)> = Vec::new();
-                for (at, who, _) in lines.iter().filter(|(at, _, l)| *at >= since && l.starts_with(&name)) {
-                    if seen.iter().all(|(_, w)| w != who) {
-                        seen.push((*at, *who));
-                    }
-                }
-                (seen.len() >= by).then(|| seen[by - 1].0)
-            };
-            let all: Option<Vec<Duration>> = whom.iter().map(of).collect();
-            if let Some(all) = all {
-                let last = all.into_iter().max().unwrap_or_default();
-                return Some((last.saturating_sub(since)).as_secs_f64());
-            }
-            if begun.elapsed() > KNOWN_WITHIN {
-                return None;
-            }
-            pause(Duration::from_millis(20));
-        }
-    }
-
-    /// Seconds until all that run have one view of so many.
-    fn agrees(&self, ready: usize) -> f64 {
-        let since = Instant::now();
-        while since.elapsed() < KNOWN_WITHIN {
-            if self.stage.agrees(ready) {
-                return since.elapsed().as_secs_f64();
-            }
-            pause(Duration::from_millis(30));
-        }
-        f64::INFINITY
-    }
-
-    fn now(&self) -> Duration {
-        self.stage.history.now()
-    }
-
-    fn dead_lines(&self) -> Vec<(Duration, usize, String)> {
-        self.stage.history.lines(": dead")
-    }
-}
-
-impl Drop for Site {
-    fn drop(&mut self) {
-        let _ = std::fs::remove_file(&self.key);
-    }
-}
-
 fn one(seed: u64, lasts: Duration) -> Row {
     let runtime = Runtime::new().expect("a runtime");
     let on = runtime.handle();
     let mut rng = Pcg64Mcg::seed_from_u64(seed);
-    let mut site = Site::new(on, seed);
+    let mut site = Site::new(on, seed, ALL, ALL + 1, |n, _| {
+        let me = if n == TWIN { 7 } else { n };
+        let more =
+            format!("name = \"n{me}\"\nregion = \"r{}\"\nzone = \"z{}\"\nforget_ms = 60000", me % 2, me % 4);
+        (me, more)
+    });
     let mut row = Row::default();
     // All but two at once.
     site.stage.act(&Act::Start { who: (0..ALL - 2).collect() });
     (0..ALL - 2).for_each(|n| site.stage.wait_ready(n));
     site.agrees(ALL - 2);
     site.open();
-    let ending = Arc::new(Mutex::new(false));
-    let shots = Arc::new(Mutex::new((0usize, 0usize, 0usize)));
-    let load = on.spawn(clients(site.places.clone(), ending.clone(), shots.clone(), seed));
+    site.load(on, seed);
 
     // Joins.
     for n in [ALL - 2, ALL - 1] {
@@ -342,13 +200,12 @@
     row.twin_told = if told() { since.elapsed().as_secs_f64() } else { f64::INFINITY };
     site.stage.wait_ready(TWIN);
 
-    *ending.lock().expect("the end") = true;
-    let _ = runtime.block_on(load);
+    let shots = site.end(&runtime);
     row.twice = site.meter.elsewhere();
     row.after_drain = site.servers[0].last_after(drained).map_or(0.0, |d| d.as_secs_f64());
     row.cold = cold.worst_multiple(Duration::from_secs(3));
-    row.over_ceiling = beyond(&site.meter);
-    (row.asked, row.served, row.unanswered) = *shots.lock().expect("shots");
+    row.over_ceiling = site.beyond();
+    (row.asked, row.served, row.unanswered) = (shots.asked, shots.served, shots.unanswered);
     if let Some(folder) = std::env::var_os("FROSTHATCH_HISTORY") {
         let file = std::path::Path::new(&folder).join(format!("members-{seed}.jsonl"));
         site.stage.history.write(&file).expect("the history is written");
@@ -356,67 +213,6 @@
     row
 }
 
-/// Units of the greedy customer that do not fit its ceiling.
-fn beyond(meter: &Meter) -> f64 {
-    let (_, _, rate, depth) = GREEDY;
-    let uses: Vec<Instant> = meter.uses().iter().filter(|u| u.customer == GREEDY.0).map(|u| u.at).collect();
-    let first = uses.first().copied();
-    let since = |at: &Instant| first.map_or(0.0, |f| at.saturating_duration_since(f).as_secs_f64());
-    let uses: Vec<(f64, f64)> = uses.iter().map(|at| (since(at), 1.0)).collect();
-    // A request is on its way for a moment: what came within it may have been sent in any order.
-    load::beyond(&uses, rate, depth + rate * 0.15, 0.0, f64::INFINITY)
-}
-
 fn used(site: &Site) -> Vec<Duration> {
     site.stage.processes.iter().map(|p| p.id().map_or(Duration::ZERO, cpu)).collect()
 }
-
-/// Asks until told to end; counts what was asked of a gateway that was there throughout, served and without an answer.
-async fn clients(
-    places: Arc<Mutex<Vec<Place>>>,
-    ending: Arc<Mutex<bool>>,
-    shots: Arc<Mutex<(usize, usize, usize)>>,
-    seed: u64,
-) {
-    let mut rng = Pcg64Mcg::seed_from_u64(seed);
-    let mut out = tokio::task::JoinSet::new();
-    let mut due = tokio::time::Instant::now();
-    while !*ending.lock().expect("the end") {
-        due += Duration::from_secs_f64(1.0 / PER_S);
-        tokio::time::sleep_until(due).await;
-        while out.try_join_next().is_some() {}
-        let there: Vec<(usize, Place)> = {
-            let places = places.lock().expect("places");
-            places.iter().copied().enumerate().filter(|(_, p)| p.at.is_some()).collect()
-        };
-        if there.is_empty() {
-            continue;
-        }
-        let (n, place) = there[rng.next_u32() as usize % there.len()];
-        let greedy = f64::from(rng.next_u32()) < GREEDY.1 / PER_S * f64::from(u32::MAX);
-        let (customer, plan) = match greedy {
-            true => (GREEDY.0, "ekstra-stor"),
-            false => (rng.next_u32() % 400, "mellem"),
-        };
-        let class = if rng.next_u32() % 100 < 71 { CHECK } else { TOP_UP };
-        let id = u64::from(rng.next_u32()) << 32 | u64::from(customer);
-        let (places, shots) = (places.clone(), shots.clone());
-        out.spawn(async move {
-            // The load's word for the width of a set: all of them.
-            let Some(at) = place.at else { return };
-            let load = Load::to(vec![at; ALL]);
-            let shape = Shape { class, plan, customer, units: 1, id };
-            let got = load.ask(0, shape, due).await;
-            // One that was killed or stopped in between cannot answer.
-            if places.lock().expect("places")[n].moves != place.moves {
-                return;
-            }
-            let mut shots = shots.lock().expect("shots");
-            // Whoever asks for too much is refused.
-            shots.0 += usize::from(!greedy);
-            shots.1 += usize::from(got == Got::Served && !greedy);
-            shots.2 += usize::from(matches!(got, Got::Nothing | Got::Wrong));
-        });
-    }
-    while out.join_next().await.is_some() {}
-}
--- a/crates/lab/src/rig/agreed.rs
+++ b/crates/lab/src/rig/agreed.rs
@@ -104,15 +104,21 @@
 
 /// A document for the lab's own day, in which the plan with room for everybody has this rate.
 pub fn document(version: u64, parent: &str, rate: f64) -> String {
+    document_with(version, parent, rate, 20.0)
+}
+
+/// The same with another ceiling for the plan that has one, and twice that as its depth.
+pub fn document_with(version: u64, parent: &str, rate: f64, ceiling: f64) -> String {
     let parent = if version > 1 { format!("parent = \"{parent}\"\n") } else { String::new() };
     format!(
         "version = {version}\n{parent}
 [plans.mellem]\nrate = {rate}\nburst = 400\n
-[plans.ekstra-stor]\nrate = 10\nburst = 20\nceiling_rate = 20\nceiling_depth = 40\n
+[plans.ekstra-stor]\nrate = 10\nburst = 20\nceiling_rate = {ceiling}\nceiling_depth = {}\n
 [plans.counted]\nrate = 6\nburst = 24\n
 [plans.counted-large]\nrate = 40\nburst = 80\nceiling_rate = 85\nceiling_depth = 170\n
 [classes.balance-check]\naim_ms = 600\nworth = 2\nlate_worth = 0\n
-[classes.top-up]\naim_ms = 300\nworth = 5\nlate_worth = 0\n"
+[classes.top-up]\naim_ms = 300\nworth = 5\nlate_worth = 0\n",
+        2.0 * ceiling
     )
 }
 
