Terms: tests of I6 and of requests held through a turn; a policy never served is never the last

crates/turndeck/tests/terms.rs: lowered and raised quotas, ceilings by the smaller of both for 250 ms, requests held while it turns and decided on anew, refused at once without a policy.

Found by the check that nobody serves under what it cannot take: with on_lost = stricter a member whose lease ended served under the policy it had refused all that time (node.rs, look: last was set in any case). Now only what it served under is the last, and nothing below the highest that was ever held.

--- a/crates/accord/src/node.rs
+++ b/crates/accord/src/node.rs
@@ -198,12 +198,15 @@
     fn look(&mut self, now: u64) -> (Standing, u64) {
         let next = self.tenant.next_change(now).unwrap_or(u64::MAX);
         if let Some(id) = self.tenant.holds(now) {
-            self.last = Some((id, next));
+            let can = self.can(&id);
+            if can {
+                self.last = Some((id, next));
+            }
             if self.held.back().is_none_or(|(last, _)| *last != id) {
                 self.held.push_back((id, now));
                 self.held.drain(..self.held.len().saturating_sub(MOST_HELD));
             }
-            return match self.can(&id) {
+            return match can {
                 true => (Standing::Under(id, None), next),
                 false => (Standing::Lost, next),
             };
@@ -211,7 +214,9 @@
         if let Some(at) = self.tenant.soon(now) {
             return (Standing::Soon(at), next);
         }
-        let Some((last, till)) = self.last else { return (Standing::Lost, next) };
+        // One that it could not serve under may have been in force since.
+        let last = self.last.filter(|(last, _)| last.version >= self.tenant.high());
+        let Some((last, till)) = last else { return (Standing::Lost, next) };
         let newer = self.tenant.known().map(Policy::id).filter(|id| id.version > last.version).max();
         let newer = newer.filter(|id| self.can(id));
         match (self.plan.on_lost, newer) {
--- a/crates/accord/src/proposer.rs
+++ b/crates/accord/src/proposer.rs
@@ -144,7 +144,8 @@
             Answer::Outrun(higher) if higher > self.ballot && !matches!(self.step, Step::Done) => {
                 self.ballot.number = higher.number;
                 // Of two that outrun each other one waits longer than the other, and longer each time.
-                let wait = self.again_us / 16 * (1 + self.ballot.proposer % 7) << self.tries.min(4);
+                let share = self.again_us / 16 * (1 + self.ballot.proposer % 7);
+                let wait = share << self.tries.min(4);
                 if !std::mem::replace(&mut self.outrun, true) {
                     self.next = now + wait;
                 }
--- a/crates/accord/tests/nodes.rs
+++ b/crates/accord/tests/nodes.rs
@@ -228,6 +228,8 @@
             self.high
         );
         assert!(!self.nowhere.contains(&id), "I3: one that was told to be nowhere holds");
+        let cannot = self.proposed.values().any(|(i, worth)| *i == id && worth == NOT_THE_LAST);
+        assert!(!(cannot && n == ALL - 1), "it serves under what it cannot take");
         let fork = self.held.iter().any(|h| h.version == id.version && *h != id);
         assert!(!fork, "I5: two of one version hold");
         self.high = self.high.max(id.version);
--- /dev/null
+++ b/crates/turndeck/tests/terms.rs
@@ -0,0 +1,140 @@
+//! Terms that change while requests come: what was used carries over, the smaller of both holds for a moment, and nothing is let in
+//! while nobody knows which hold.
+
+mod common;
+use common::*;
+use turndeck::*;
+
+fn plan(rate: f64, burst: f64, ceiling: Option<f64>) -> Plan {
+    let ceiling = ceiling.map(|c| Ceiling { rate: c, depth: c });
+    Plan { rate, burst, ceiling, ..Settings::example().plans[0].clone() }
+}
+
+fn settings(plan: Plan) -> Settings {
+    Settings { plans: vec![plan], ..Settings::example() }
+}
+
+fn terms(plan: Plan) -> Event {
+    Event::Terms(Terms { plans: vec![plan], classes: Settings::example().classes, retries: Retries::default() })
+}
+
+/// So many of the requests that come now, one after another, are sent on; each is served at once.
+fn passes(rig: &mut Rig, most: usize) -> usize {
+    let mut passed = 0;
+    for _ in 0..most {
+        let (id, actions) = rig.request("c");
+        if let Some(server) = sent(&actions) {
+            passed += 1;
+            rig.outcome(id, 0, &server, Status::Served, 0);
+        }
+    }
+    passed
+}
+
+#[test]
+fn a_lowered_quota_holds_at_once_for_a_customer_at_its_limit() {
+    let mut rig = Rig::with_servers(settings(plan(10.0, 20.0, None)), 2);
+    assert_eq!(passes(&mut rig, 15), 15);
+    rig.tell(terms(plan(2.0, 4.0, None)));
+    assert_eq!(passes(&mut rig, 15), 4, "of the five that were left as many as fit the smaller store");
+    rig.now += 1_000_000;
+    assert_eq!(passes(&mut rig, 15), 2);
+}
+
+#[test]
+fn a_raised_quota_gives_nothing_back_that_was_used_and_fills_by_the_smaller_at_first() {
+    let mut rig = Rig::with_servers(settings(plan(2.0, 4.0, None)), 2);
+    assert_eq!(passes(&mut rig, 10), 4);
+    rig.tell(terms(plan(40.0, 40.0, None)));
+    assert_eq!(passes(&mut rig, 10), 0, "what was used is used");
+    // Half of the window: by the smaller rate a quarter of a unit.
+    rig.now += 125_000;
+    rig.tell(Event::Timer(Timer::Interval));
+    assert_eq!(passes(&mut rig, 10), 0);
+    rig.now += 125_000;
+    rig.tell(Event::Timer(Timer::Interval));
+    rig.now += 500_000;
+    assert_eq!(passes(&mut rig, 100), 20, "half a second by the new rate, and half a unit from before");
+}
+
+/// Whatever the order of changes, no more passes in any time than the largest ceiling, and in the window than the smaller.
+#[test]
+fn a_ceiling_is_kept_across_changes_by_the_smaller_while_both_may_hold() {
+    for (first, then) in [(20.0, 8.0), (8.0, 20.0)] {
+        let mut rig = Rig::with_servers(settings(plan(100.0, 100.0, Some(first))), 2);
+        rig.now += 5_000_000;
+        // The first customer's slice fills from the start on.
+        passes(&mut rig, 200);
+        rig.now += 2_000_000;
+        rig.tell(terms(plan(100.0, 100.0, Some(then))));
+        let within: usize = (0..10)
+            .map(|_| {
+                rig.now += 25_000;
+                passes(&mut rig, 50)
+            })
+            .sum();
+        let smaller = f64::min(first, then);
+        assert!(within as f64 <= smaller + 0.25 * smaller, "{first} to {then}: {within} within the window");
+        let after: usize = (0..100)
+            .map(|_| {
+                rig.now += 25_000;
+                passes(&mut rig, 50)
+            })
+            .sum();
+        assert!(after as f64 <= then * 2.5 + 1.0, "{first} to {then}: {after} after it");
+        assert!(after as f64 >= then * 2.4 - 1.0, "{first} to {then}: {after} after it");
+    }
+}
+
+#[test]
+fn while_it_turns_requests_are_held_and_decided_on_by_what_holds_then() {
+    let mut rig = Rig::with_servers(settings(plan(10.0, 20.0, None)), 2);
+    rig.tell(Event::Standing(Standing::Soon));
+    for _ in 0..6 {
+        let (_, actions) = rig.request("c");
+        assert!(sent(&actions).is_none() && !refused(&actions));
+    }
+    // News of the list lets none of them in.
+    assert!(sent(&rig.list(ListKind::Complete, vec![ServerEntry::ready("s9", "a")])).is_none());
+    rig.now += 60_000;
+    rig.tell(terms(plan(1.0, 2.0, None)));
+    let actions = rig.tell(Event::Standing(Standing::Open));
+    let n = |which: fn(&Action) -> bool| actions.iter().filter(|a| which(a)).count();
+    assert_eq!(n(|a| matches!(a, Action::Send { .. })), 2, "as many as the new terms allow");
+    assert_eq!(n(|a| matches!(a, Action::Refuse { .. })), 4, "and the rest is answered at once");
+}
+
+#[test]
+fn one_that_is_held_too_long_is_answered_while_its_client_can_try_elsewhere() {
+    let mut rig = Rig::with_servers(settings(plan(10.0, 20.0, None)), 2);
+    rig.tell(Event::Standing(Standing::Soon));
+    let (id, actions) = rig.request("c");
+    let after = actions.iter().find_map(|a| match a {
+        Action::SetTimer { after_us, timer: Timer::Request(r) } if *r == id => Some(*after_us),
+        _ => None,
+    });
+    rig.now += after.expect("a timer");
+    assert!(refused(&rig.tell(Event::Timer(Timer::Request(id)))));
+}
+
+#[test]
+fn without_a_policy_all_are_refused_at_once_and_what_was_let_in_goes_on() {
+    let mut rig = Rig::with_servers(settings(plan(10.0, 20.0, None)), 2);
+    let (running, actions) = rig.request("c");
+    let server = sent(&actions).expect("sent");
+    rig.tell(Event::Standing(Standing::Soon));
+    let (_, held) = rig.request("c");
+    assert!(!refused(&held));
+    assert!(refused(&rig.tell(Event::Standing(Standing::Closed))), "what was held is answered");
+    let (_, actions) = rig.request("c");
+    let after = actions.iter().find_map(|a| match a {
+        Action::Refuse { retry_after_us, .. } => Some(*retry_after_us),
+        _ => None,
+    });
+    assert_eq!(after, Some(1_000_000));
+    // Its first attempt was let in: a further one is no other request.
+    let actions = rig.outcome(running, 0, &server, Status::TurnedAway, 10_000);
+    assert!(sent(&actions).is_some());
+    rig.tell(Event::Standing(Standing::Open));
+    assert!(sent(&rig.request("c").1).is_some());
+}
