--- a/crates/turndeck/tests/terms.rs
+++ b/crates/turndeck/tests/terms.rs
@@ -15,7 +15,11 @@
 }
 
 fn terms(plan: Plan) -> Event {
-    Event::Terms(Terms { plans: vec![plan], classes: Settings::example().classes, retries: Retries::default() })
+    Event::Terms(Terms {
+        plans: vec![plan],
+        classes: Settings::example().classes,
+        retries: Retries::default(),
+    })
 }
 
 /// So many of the requests that come now, one after another, are sent on; each is served at once.
