Keepers replaced: a life of each, named in what is accepted; a lost folder and its old one back

It joins by a ballot that more than half of all promise without it, takes the highest that they accepted, and its place has that ballot's number as its life from then on. Accepts name the promises they rest on by place and life; keepers refuse what rests on an earlier life, and everybody drops the word of one. So the old folder, put back, is of no use.

Found while it was written, by thought: a join whose number is that of an earlier one would have the same life (keeper.rs asks for a higher number).

--- a/crates/accord/src/folder.rs
+++ b/crates/accord/src/folder.rs
@@ -57,16 +57,17 @@
         choose(keeper, &files).map_err(wrong)
     }
 
-    /// Makes a new keeper's first state.
+    /// Makes a new keeper's first state; `replaces`: it takes the place of one that is gone for good.
     ///
     /// # Errors
     /// Something is there already, or it cannot be written.
-    pub fn init(&self, keeper: &str) -> Result<(), String> {
+    pub fn init(&self, keeper: &str, replaces: bool) -> Result<(), String> {
         let wrong = |e: String| format!("{}: {e}", self.path.display());
         if !self.states().map_err(|e| wrong(e.to_string()))?.is_empty() {
             return Err(wrong("there is a state already; nothing is changed".into()));
         }
-        self.write(&Record::first(keeper)).map_err(wrong)
+        let first = if replaces { Record::joining(keeper) } else { Record::first(keeper) };
+        self.write(&first).map_err(wrong)
     }
 
     /// Puts a state on disk: once this returns, no loss of power takes it away. Those before the last are dropped.
@@ -116,8 +117,8 @@
         let place = Place::new("kept");
         let folder = Folder::open(&place.0).expect("it opens");
         assert!(folder.read("n1").is_err_and(|e| e.contains("policy init")));
-        folder.init("n1").expect("it is made");
-        assert!(folder.init("n1").is_err_and(|e| e.contains("already")));
+        folder.init("n1", false).expect("it is made");
+        assert!(folder.init("n1", false).is_err_and(|e| e.contains("already")));
         for state in 2..6 {
             folder.write(&Record { state, ..Record::first("n1") }).expect("it is written");
         }
--- a/crates/accord/src/keeper.rs
+++ b/crates/accord/src/keeper.rs
@@ -7,12 +7,19 @@
 
 use crate::{Ballot, Id, Policy, Times};
 use serde::{Deserialize, Serialize};
+use std::collections::BTreeMap;
 
 /// What has to be on disk before an answer goes out.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct Durable {
     pub promised: Ballot,
     pub accepted: Option<(Ballot, Policy)>,
+    /// The number of the ballot by which it joined in the place of an earlier keeper; 0: it is the first in its place.
+    pub life: u64,
+    /// Of the other keepers, by their place, as far as they were told here: an earlier life's word counts no more.
+    pub lives: BTreeMap<u64, u64>,
+    /// It takes an earlier one's place and has not heard enough of the others yet: it keeps nothing.
+    pub joining: bool,
 }
 
 impl Durable {
@@ -25,7 +32,10 @@
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub enum Ask {
     Prepare(Ballot),
-    Accept(Ballot, Policy),
+    /// The same, and the keeper of this place is another from now on, with the ballot's number as its life.
+    Join(Ballot, u64),
+    /// The promises on which it rests: place and life of each keeper that gave one.
+    Accept(Ballot, Policy, Vec<(u64, u64)>),
     /// A gateway wants a lease.
     Lease,
 }
@@ -55,6 +65,8 @@
 
 pub struct Keeper {
     times: Times,
+    /// Its place among the keepers.
+    me: u64,
     state: Durable,
     /// Not on disk: whoever started again does not know if its turn is over.
     before: Option<(Id, Ballot)>,
@@ -65,8 +77,8 @@
 impl Keeper {
     /// As a keeper starts, with what it had on disk. What it granted before it stopped it has forgotten: all that was is over a lease
     /// from now.
-    pub fn new(times: Times, state: Durable, now: u64) -> Keeper {
-        Keeper { times, state, before: None, turn: now + times.lease_us }
+    pub fn new(times: Times, me: u64, state: Durable, now: u64) -> Keeper {
+        Keeper { times, me, state, before: None, turn: now + times.lease_us }
     }
 
     pub fn state(&self) -> &Durable {
@@ -82,7 +94,13 @@
                 self.state.promised = ballot;
                 (Answer::Promised(ballot, self.state.accepted), news)
             }
-            Ask::Accept(ballot, policy) if ballot >= self.state.promised => {
+            // Its number is a life: no two may have the same.
+            Ask::Join(ballot, place) if ballot.number > self.state.promised.number && place != self.me => {
+                self.state.promised = ballot;
+                self.state.lives.insert(place, ballot.number);
+                (Answer::Promised(ballot, self.state.accepted), true)
+            }
+            Ask::Accept(ballot, policy, rests) if ballot >= self.state.promised && !self.outlived(&rests) => {
                 let was = self.state.accepted.as_ref().map(|(b, p)| (p.id(), *b));
                 let another = was.map(|(id, _)| id) != Some(policy.id());
                 // Leases on one that has not had its turn may be out: with a third one no single time would end them all.
@@ -98,11 +116,19 @@
                 }
                 (Answer::Accepted(ballot), news)
             }
-            Ask::Prepare(_) | Ask::Accept(..) => (Answer::Outrun(self.state.promised), false),
+            Ask::Prepare(_) | Ask::Join(..) | Ask::Accept(..) => (Answer::Outrun(self.state.promised), false),
             Ask::Lease => (Answer::Lease(self.grant(now)), false),
         }
     }
 
+    /// One of these promises was given by a keeper whose place another has taken.
+    fn outlived(&self, rests: &[(u64, u64)]) -> bool {
+        rests.iter().any(|(place, life)| match *place == self.me {
+            true => *life != self.state.life,
+            false => self.state.lives.get(place).is_some_and(|known| life < known),
+        })
+    }
+
     fn grant(&self, now: u64) -> Grant {
         let left = self.turn.saturating_sub(now);
         let before = self.before.filter(|_| left > 0).map(|(id, ballot)| (id, ballot, left));
@@ -134,21 +160,27 @@
 
     #[test]
     fn a_lower_ballot_is_outrun_and_what_was_accepted_is_told() {
-        let mut k = Keeper::new(TIMES, Durable::default(), 0);
+        let mut k = Keeper::new(TIMES, 0, Durable::default(), 0);
         assert_eq!(k.ask(0, Ask::Prepare(ballot(2))), (Answer::Promised(ballot(2), None), true));
-        assert_eq!(k.ask(0, Ask::Accept(ballot(1), policy(1))), (Answer::Outrun(ballot(2)), false));
-        assert_eq!(k.ask(0, Ask::Accept(ballot(2), policy(1))), (Answer::Accepted(ballot(2)), true));
+        assert_eq!(
+            k.ask(0, Ask::Accept(ballot(1), policy(1), Vec::new())),
+            (Answer::Outrun(ballot(2)), false)
+        );
+        assert_eq!(
+            k.ask(0, Ask::Accept(ballot(2), policy(1), Vec::new())),
+            (Answer::Accepted(ballot(2)), true)
+        );
         let told = k.ask(0, Ask::Prepare(ballot(3))).0;
         assert_eq!(told, Answer::Promised(ballot(3), Some((ballot(2), policy(1)))));
     }
 
     #[test]
     fn the_one_before_is_granted_until_the_turn_and_the_new_one_from_then_on() {
-        let mut k = Keeper::new(TIMES, Durable::default(), 0);
-        k.ask(0, Ask::Accept(ballot(1), policy(1)));
+        let mut k = Keeper::new(TIMES, 0, Durable::default(), 0);
+        k.ask(0, Ask::Accept(ballot(1), policy(1), Vec::new()));
         assert_eq!(grant(&mut k, 400), Grant { before: None, now: Some((policy(1), ballot(1), 600, 1_000)) });
         assert_eq!(grant(&mut k, 2_000), Grant { before: None, now: Some((policy(1), ballot(1), 0, 1_000)) });
-        k.ask(5_000, Ask::Accept(ballot(2), policy(2)));
+        k.ask(5_000, Ask::Accept(ballot(2), policy(2), Vec::new()));
         let g = grant(&mut k, 5_300);
         assert_eq!(
             g,
@@ -159,26 +191,48 @@
         );
         assert_eq!(grant(&mut k, 6_000).before, None);
         // Accepted again under another ballot, as a proposer does that finishes another's change: the turn stays.
-        k.ask(6_000, Ask::Accept(ballot(3), policy(2)));
+        k.ask(6_000, Ask::Accept(ballot(3), policy(2), Vec::new()));
         assert_eq!(grant(&mut k, 6_100).now, Some((policy(2), ballot(3), 0, 1_000)));
     }
 
     #[test]
     fn a_change_within_a_turn_has_to_wait_for_its_end() {
-        let mut k = Keeper::new(TIMES, Durable::default(), 0);
-        k.ask(0, Ask::Accept(ballot(1), policy(1)));
-        k.ask(5_000, Ask::Accept(ballot(2), policy(2)));
-        assert_eq!(k.ask(5_500, Ask::Accept(ballot(3), policy(3))), (Answer::Busy(500), false));
-        assert_eq!(k.ask(6_000, Ask::Accept(ballot(3), policy(3))), (Answer::Accepted(ballot(3)), true));
+        let mut k = Keeper::new(TIMES, 0, Durable::default(), 0);
+        k.ask(0, Ask::Accept(ballot(1), policy(1), Vec::new()));
+        k.ask(5_000, Ask::Accept(ballot(2), policy(2), Vec::new()));
+        assert_eq!(k.ask(5_500, Ask::Accept(ballot(3), policy(3), Vec::new())), (Answer::Busy(500), false));
+        assert_eq!(
+            k.ask(6_000, Ask::Accept(ballot(3), policy(3), Vec::new())),
+            (Answer::Accepted(ballot(3)), true)
+        );
         assert_eq!(grant(&mut k, 6_100).before, Some((policy(2).id(), ballot(2), 900)));
     }
 
+    #[test]
+    fn what_rests_on_the_word_of_a_keeper_whose_place_was_taken_is_not_accepted() {
+        let mut k = Keeper::new(TIMES, 0, Durable::first(), 0);
+        assert!(matches!(k.ask(0, Ask::Join(ballot(5), 2)).0, Answer::Promised(..)));
+        assert_eq!(
+            k.ask(0, Ask::Prepare(ballot(6))).0,
+            Answer::Promised(ballot(6), Some(Default::default()))
+        );
+        let accept = |rests: Vec<(u64, u64)>| Ask::Accept(ballot(6), policy(1), rests);
+        assert_eq!(k.ask(5_000, accept(vec![(0, 0), (2, 0)])).0, Answer::Outrun(ballot(6)));
+        assert_eq!(
+            k.ask(5_000, accept(vec![(0, 3), (1, 0)])).0,
+            Answer::Outrun(ballot(6)),
+            "of another life of its own"
+        );
+        assert_eq!(k.ask(5_000, accept(vec![(0, 0), (2, 5)])).0, Answer::Accepted(ballot(6)));
+        assert!(matches!(k.ask(0, Ask::Join(ballot(6), 2)).0, Answer::Outrun(_)), "it has to be above all");
+    }
+
     #[test]
     fn a_keeper_that_starts_again_waits_a_lease_before_it_grants_what_it_accepted() {
-        let mut k = Keeper::new(TIMES, Durable::default(), 0);
-        k.ask(0, Ask::Accept(ballot(1), policy(1)));
-        k.ask(5_000, Ask::Accept(ballot(2), policy(2)));
-        let mut k = Keeper::new(TIMES, k.state().clone(), 5_100);
+        let mut k = Keeper::new(TIMES, 0, Durable::default(), 0);
+        k.ask(0, Ask::Accept(ballot(1), policy(1), Vec::new()));
+        k.ask(5_000, Ask::Accept(ballot(2), policy(2), Vec::new()));
+        let mut k = Keeper::new(TIMES, 0, k.state().clone(), 5_100);
         assert_eq!(grant(&mut k, 5_100).now, Some((policy(2), ballot(2), 1_000, 1_000)));
         assert_eq!(grant(&mut k, 5_100).before, None, "its turn may be over long since");
     }
--- a/crates/accord/src/letter.rs
+++ b/crates/accord/src/letter.rs
@@ -9,16 +9,18 @@
 
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub enum Letter {
-    /// To a keeper. `number`: of the question, goes back with the answer; `seen`: the latest state of its folder that it told the
-    /// asker of.
+    /// To a keeper. `number`: of the question, goes back with the answer; `seen`: its life and the latest state of its folder that
+    /// it told the asker of.
     Ask {
         number: u64,
-        seen: u64,
+        seen: (u64, u64),
         ask: Ask,
     },
+    /// `lives`: its own first, and those of others that it was told of, by their places.
     Answer {
         number: u64,
         state: u64,
+        lives: (u64, Vec<(u64, u64)>),
         answer: Answer,
     },
     /// Can this be served under?
@@ -79,13 +81,17 @@
             before: Some((policy.id(), ballot, u64::MAX)),
             now: Some((policy, ballot, u64::MAX, u64::MAX)),
         };
+        // Of seven keepers.
+        let all = vec![(u64::MAX, u64::MAX); 7];
+        let lives = (u64::MAX, all.clone());
         let (number, digest, at) = (u64::MAX, [1; 32], u32::MAX);
         for letter in [
-            Letter::Ask { number, seen: number, ask: Ask::Accept(ballot, policy) },
-            Letter::Answer { number, state: number, answer: Answer::Lease(grant) },
+            Letter::Ask { number, seen: (number, number), ask: Ask::Accept(ballot, policy, all.clone()) },
+            Letter::Answer { number, state: number, lives: lives.clone(), answer: Answer::Lease(grant) },
             Letter::Answer {
                 number,
                 state: number,
+                lives: lives.clone(),
                 answer: Answer::Promised(ballot, Some((ballot, policy))),
             },
             Letter::checked(number, Err("é".repeat(10_000))),
--- a/crates/accord/src/node.rs
+++ b/crates/accord/src/node.rs
@@ -3,13 +3,13 @@
 //! seed.
 
 use crate::document::Document;
-use crate::keeper::{Answer, Ask, Grant, Keeper};
+use crate::keeper::{Answer, Ask, Durable, Grant, Keeper};
 use crate::letter::Letter;
 use crate::proposer::{End, Out as Step, Proposer};
 use crate::record::Record;
 use crate::tenant::Tenant;
 use crate::texts::Texts;
-use crate::{Id, Policy, Times};
+use crate::{majority, Ballot, Id, Policy, Times};
 use rand_pcg::rand_core::{RngCore, SeedableRng};
 use rand_pcg::Pcg64Mcg;
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
@@ -28,6 +28,8 @@
 const STORE_US: u64 = 1_000_000;
 /// Keepers that hold different policies for so long are brought together by one of them, each after a wait of its own beside it.
 const APART_US: u64 = 500_000;
+/// Under this number a keeper that joins asks; proposals have odd ones.
+const JOIN: u64 = 2;
 /// Policies that were held here and are remembered.
 const MOST_HELD: usize = 64;
 
@@ -84,12 +86,21 @@
     /// The state of its folder that is on disk.
     state: u64,
     /// What is being written, and who hears what once it is.
-    writing: Option<(Record, String, Letter)>,
+    writing: Option<(Record, Option<(String, Letter)>)>,
+    /// It takes the place of one that is gone.
+    joining: Option<Joining>,
     failed_at: Option<u64>,
     /// It keeps no more, and why.
     silent: Option<String>,
 }
 
+/// What a keeper that joins has heard of the others under its ballot.
+struct Joining {
+    ballot: Ballot,
+    promises: BTreeMap<u64, Option<(Ballot, Policy)>>,
+    due: u64,
+}
+
 struct Proposal {
     proposer: Proposer,
     /// None: it only finishes what was begun.
@@ -126,8 +137,9 @@
     judged: BTreeMap<[u8; 32], Result<(), String>>,
     asked: VecDeque<(u64, u64)>,
     ask_due: u64,
-    /// The latest state that each keeper told of.
-    seen: BTreeMap<String, u64>,
+    /// Life and latest state that each keeper told of, by its place; and the life that it has by anybody's word.
+    seen: BTreeMap<u64, (u64, u64)>,
+    lives: BTreeMap<u64, u64>,
     proposals: BTreeMap<u64, Proposal>,
     wants: BTreeMap<[u8; 32], Wanted>,
     /// Asked by whom under what number, and not answered yet as the document is on its way.
@@ -154,6 +166,7 @@
             asked: VecDeque::new(),
             ask_due: 0,
             seen: BTreeMap::new(),
+            lives: BTreeMap::new(),
             proposals: BTreeMap::new(),
             wants: BTreeMap::new(),
             checks: BTreeMap::new(),
@@ -176,10 +189,15 @@
                 self.texts.put(&record.text);
                 (record.durable, record.state, None)
             }
-            Err(why) => (Default::default(), 0, Some(why)),
+            Err(why) => (Durable::default(), 0, Some(why)),
         };
-        let keeper = Keeper::new(self.plan.times, durable, now);
-        self.own = Some(Own { keeper, state, writing: None, failed_at: None, silent });
+        let place = self.plan.keepers.iter().position(|k| *k == self.plan.me).unwrap_or(usize::MAX) as u64;
+        let joining = durable.joining.then(|| {
+            let ballot = Ballot { number: 1, proposer: self.rng.next_u64() };
+            Joining { ballot, promises: BTreeMap::new(), due: now }
+        });
+        let keeper = Keeper::new(self.plan.times, place, durable, now);
+        self.own = Some(Own { keeper, state, writing: None, joining, failed_at: None, silent });
     }
 
     /// Under what requests may be let in at this time.
@@ -276,6 +294,9 @@
         self.own.as_ref().map(|own| match (&own.silent, own.failed_at) {
             (Some(why), _) => Err(why.clone()),
             (None, Some(_)) => Err("what it promised cannot be put on disk; it is tried again".into()),
+            (None, None) if own.joining.is_some() => {
+                Err("it joins in the place of an earlier one, and waits for a majority of the others".into())
+            }
             (None, None) => Ok(own.state),
         })
     }
@@ -351,6 +372,7 @@
     /// Does what is due. `there`: as for [`Node::propose`].
     pub fn tick(&mut self, now: u64, there: &[String], out: &mut Vec<Out>) {
         self.keep(now, out);
+        self.join(now, out);
         if now >= self.ask_due {
             let every = self.tenant.asks_every_us();
             let holds = matches!(self.standing(now), Standing::Under(..));
@@ -401,8 +423,8 @@
 
     /// Asks all keepers.
     fn ask(&mut self, number: u64, ask: &Ask, out: &mut Vec<Out>) {
-        for keeper in self.plan.keepers.clone() {
-            let seen = self.seen.get(&keeper).copied().unwrap_or(0);
+        for (place, keeper) in (0..).zip(self.plan.keepers.clone()) {
+            let seen = self.seen.get(&place).copied().unwrap_or_default();
             self.send(&keeper, Letter::Ask { number, seen, ask: ask.clone() }, out);
         }
     }
@@ -410,16 +432,23 @@
     fn take(&mut self, now: u64, from: &str, letter: Letter, out: &mut Vec<Out>) {
         match letter {
             Letter::Ask { number, seen, ask } => self.asked(now, from, number, seen, ask, out),
-            Letter::Answer { number, state, answer } => {
+            Letter::Answer { number, state, lives: (life, others), answer } => {
                 let Some(keeper) = self.plan.keepers.iter().position(|k| k == from) else { return };
-                let seen = self.seen.entry(from.into()).or_default();
-                *seen = state.max(*seen);
+                let keeper = keeper as u64;
+                others.into_iter().chain([(keeper, life)]).for_each(|(place, life)| self.lives(place, life));
+                // Another has taken its place: its word counts no more.
+                if self.lives.get(&keeper).is_some_and(|known| life < *known) {
+                    return;
+                }
+                let seen = self.seen.entry(keeper).or_default();
+                *seen = (life, state).max(*seen);
                 match answer {
-                    Answer::Lease(grant) => self.granted(now, from, keeper as u64, number, grant),
+                    Answer::Lease(grant) => self.granted(now, from, keeper, number, grant),
+                    answer if number == JOIN => self.joins(now, from, keeper, answer, out),
                     answer => {
                         let Some(p) = self.proposals.get_mut(&number) else { return };
                         let mut steps = Vec::new();
-                        p.proposer.answered(now, keeper as u64, answer, &mut steps);
+                        p.proposer.answered(now, keeper, life, answer, &mut steps);
                         self.steps(now, number, steps, out);
                     }
                 }
@@ -461,17 +490,83 @@
         }
     }
 
+    /// A keeper's life, by somebody's word: what an earlier one in its place said is forgotten.
+    fn lives(&mut self, place: u64, life: u64) {
+        let known = self.lives.entry(place).or_default();
+        if life > *known {
+            *known = life;
+            self.tenant.outlived(place);
+            self.proposals.values_mut().for_each(|p| p.proposer.outlived(place));
+            self.unsettle();
+        }
+    }
+
+    /// As a keeper that joins: another promised its ballot, or it was outrun. Once more than half of all have, without itself, it knows
+    /// at least what the one before it accepted, and nothing that rests on a promise of that one is accepted any more.
+    fn joins(&mut self, now: u64, from: &str, keeper: u64, answer: Answer, out: &mut Vec<Out>) {
+        let most = majority(self.plan.keepers.len());
+        let Some(own) = self.own.as_mut().filter(|own| own.writing.is_none()) else { return };
+        let Some(joining) = &mut own.joining else { return };
+        match answer {
+            Answer::Outrun(higher) if higher.number >= joining.ballot.number => {
+                joining.ballot.number = higher.number + 1;
+                joining.promises.clear();
+            }
+            Answer::Promised(ballot, was) if ballot == joining.ballot => {
+                let _ = joining.promises.insert(keeper, was);
+            }
+            _ => {}
+        }
+        if joining.promises.len() < most {
+            return;
+        }
+        let accepted = joining.promises.values().flatten().max_by_key(|(b, _)| *b).copied();
+        let digest = accepted.map(|(_, p)| p.digest).unwrap_or_default();
+        if !self.texts.has(&digest) {
+            return self.want(now, digest, from);
+        }
+        let (ballot, place) = (joining.ballot, self.plan.keepers.iter().position(|k| *k == self.plan.me));
+        let lives =
+            self.lives.iter().filter(|(p, _)| Some(**p) != place.map(|p| p as u64)).map(|(p, l)| (*p, *l));
+        let life = ballot.number;
+        let durable = Durable { promised: ballot, accepted, life, lives: lives.collect(), joining: false };
+        let text = self.texts.get(&digest).unwrap_or_default().to_string();
+        let record = Record { keeper: self.plan.me.clone(), state: own.state + 1, durable, text };
+        own.writing = Some((record.clone(), None));
+        out.push(Out::Store(record));
+    }
+
+    /// As a keeper that joins: asks the others again.
+    fn join(&mut self, now: u64, out: &mut Vec<Out>) {
+        let highest = self.tenant.highest_ballot();
+        let Some(joining) = self.own.as_mut().and_then(|own| own.joining.as_mut()) else { return };
+        if now < joining.due {
+            return;
+        }
+        joining.due = now + self.plan.again_us;
+        if joining.ballot.number <= highest {
+            joining.ballot.number = highest + 1;
+            joining.promises.clear();
+        }
+        let ballot = joining.ballot;
+        let place = self.plan.keepers.iter().position(|k| *k == self.plan.me).unwrap_or(usize::MAX) as u64;
+        self.ask(JOIN, &Ask::Join(ballot, place), out);
+    }
+
     /// As a keeper: a question came.
-    fn asked(&mut self, now: u64, from: &str, number: u64, seen: u64, ask: Ask, out: &mut Vec<Out>) {
-        if let Ask::Accept(_, policy) = &ask {
+    fn asked(&mut self, now: u64, from: &str, number: u64, seen: (u64, u64), ask: Ask, out: &mut Vec<Out>) {
+        if let Ask::Accept(_, policy, _) = &ask {
             if !self.texts.has(&policy.digest) {
                 return self.want(now, policy.digest, from);
             }
         }
-        let Some(own) = self.own.as_mut().filter(|own| own.silent.is_none()) else { return };
-        if seen > own.state + u64::from(own.writing.is_some()) {
+        let may = |own: &&mut Own| own.silent.is_none() && own.joining.is_none();
+        let Some(own) = self.own.as_mut().filter(may) else { return };
+        let life = own.keeper.state().life;
+        if seen > (life, own.state) {
+            let told = seen.1;
             let why = format!(
-                "its folder is at the state {}, and it told of {seen}: it was put back from a copy",
+                "its folder is at the state {}, and it told of {told}: it was put back from a copy",
                 own.state
             );
             out.push(Out::Log(format!("policy: keeper-silent why={why:?}")));
@@ -483,7 +578,8 @@
             return;
         }
         let (answer, durable) = own.keeper.ask(now, ask);
-        let letter = |state| Letter::Answer { number, state, answer };
+        let others = own.keeper.state().lives.iter().map(|(place, life)| (*place, *life)).collect();
+        let letter = |state| Letter::Answer { number, state, lives: (life, others), answer };
         if !durable {
             let letter = letter(own.state);
             return self.send(from, letter, out);
@@ -492,7 +588,7 @@
         let digest = durable.accepted.map(|(_, p)| p.digest).unwrap_or_default();
         let text = self.texts.get(&digest).unwrap_or_default().to_string();
         let record = Record { keeper: self.plan.me.clone(), state: own.state + 1, durable, text };
-        own.writing = Some((record.clone(), from.into(), letter(record.state)));
+        own.writing = Some((record.clone(), Some((from.into(), letter(record.state)))));
         out.push(Out::Store(record));
     }
 
@@ -501,12 +597,18 @@
         let Some(own) = &mut self.own else { return };
         match how {
             Ok(()) => {
-                let Some((record, to, letter)) = own.writing.take() else { return };
+                let Some((record, answer)) = own.writing.take() else { return };
                 own.state = record.state;
+                if own.joining.take().is_some() {
+                    out.push(Out::Log(format!("policy: joined state={}", record.state)));
+                    return self.keep_from(now, Ok(record));
+                }
                 if own.failed_at.take().is_some() {
                     out.push(Out::Log(format!("policy: keeper-writes state={}", record.state)));
                 }
-                self.send(&to, letter, out);
+                if let Some((to, letter)) = answer {
+                    self.send(&to, letter, out);
+                }
                 self.work(now, out);
             }
             // It may be on disk or not: until it is, nothing is said.
@@ -520,7 +622,7 @@
 
     fn keep(&mut self, now: u64, out: &mut Vec<Out>) {
         let Some(own) = &mut self.own else { return };
-        if let (Some(at), Some((record, ..))) = (own.failed_at, &own.writing) {
+        if let (Some(at), Some((record, _))) = (own.failed_at, &own.writing) {
             if now >= at + STORE_US {
                 own.failed_at = Some(u64::MAX - STORE_US);
                 out.push(Out::Store(record.clone()));
@@ -543,10 +645,11 @@
 
     /// As a keeper: it accepts late what it was not there to accept.
     fn catch_up(&mut self) {
-        let Some(own) = self.own.as_ref().filter(|own| own.silent.is_none()) else { return };
+        let may = |own: &&Own| own.silent.is_none() && own.joining.is_none();
+        let Some(own) = self.own.as_ref().filter(may) else { return };
         let mine = own.keeper.state().accepted.map_or(0, |(_, p)| p.version);
         if let Some((ballot, policy)) = self.tenant.chosen().filter(|(_, p)| p.version > mine) {
-            let (number, seen, ask) = (0, 0, Ask::Accept(ballot, policy));
+            let (number, seen, ask) = (0, (0, 0), Ask::Accept(ballot, policy, Vec::new()));
             self.inbox.push_back(Letter::Ask { number, seen, ask });
         }
     }
@@ -578,7 +681,7 @@
 
     /// As a keeper: what somebody left half done is finished.
     fn bring_together(&mut self, now: u64, out: &mut Vec<Out>) {
-        let keeps = self.own.as_ref().is_some_and(|own| own.silent.is_none());
+        let keeps = self.own.as_ref().is_some_and(|own| own.silent.is_none() && own.joining.is_none());
         let busy = self.proposals.values().any(|p| p.proposer.end().is_none());
         if !keeps || busy || !self.tenant.apart(now) {
             self.apart_since = None;
--- a/crates/accord/src/proposer.rs
+++ b/crates/accord/src/proposer.rs
@@ -28,9 +28,19 @@
 }
 
 enum Step {
-    Checking { yes: BTreeSet<u64>, of: BTreeSet<u64> },
-    Preparing { promises: BTreeMap<u64, Option<(Ballot, Policy)>> },
-    Accepting { accepted: BTreeSet<u64>, value: Policy },
+    Checking {
+        yes: BTreeSet<u64>,
+        of: BTreeSet<u64>,
+    },
+    /// With each promise the life of the keeper that gave it.
+    Preparing {
+        promises: BTreeMap<u64, (u64, Option<(Ballot, Policy)>)>,
+    },
+    Accepting {
+        accepted: BTreeSet<u64>,
+        value: Policy,
+        rests: Vec<(u64, u64)>,
+    },
     Done,
 }
 
@@ -123,6 +133,15 @@
         }
     }
 
+    /// Another keeper has taken the place of this one: what it said so far counts no more.
+    pub fn outlived(&mut self, keeper: u64) {
+        match &mut self.step {
+            Step::Preparing { promises } => drop(promises.remove(&keeper)),
+            Step::Accepting { accepted, .. } => drop(accepted.remove(&keeper)),
+            Step::Checking { .. } | Step::Done => {}
+        }
+    }
+
     /// A member is not there any more: its lease ends before the change holds.
     pub fn gone(&mut self, member: u64) {
         if let Step::Checking { of, .. } = &mut self.step {
@@ -138,7 +157,8 @@
         out.push(Out::Keepers(Ask::Prepare(self.ballot)));
     }
 
-    pub fn answered(&mut self, now: u64, keeper: u64, answer: Answer, out: &mut Vec<Out>) {
+    /// `life`: of the keeper that answers.
+    pub fn answered(&mut self, now: u64, keeper: u64, life: u64, answer: Answer, out: &mut Vec<Out>) {
         let most = majority(self.keepers);
         match answer {
             Answer::Outrun(higher) if higher > self.ballot && !matches!(self.step, Step::Done) => {
@@ -152,11 +172,14 @@
             }
             Answer::Promised(ballot, was) if ballot == self.ballot => {
                 let Step::Preparing { promises } = &mut self.step else { return };
-                promises.insert(keeper, was);
+                promises.insert(keeper, (life, was));
                 if promises.len() < most {
                     return;
                 }
-                let was = promises.values().flatten().max_by_key(|(b, _)| *b).map(|(_, p)| *p);
+                let rests: Vec<(u64, u64)> =
+                    promises.iter().map(|(place, (life, _))| (*place, *life)).collect();
+                let was =
+                    promises.values().filter_map(|(_, was)| *was).max_by_key(|(b, _)| *b).map(|(_, p)| p);
                 let value = match (was, &self.wants) {
                     // What follows on what is there; else what is there is finished first.
                     (was, Some(wants)) if wants.follows(was.as_ref()) => *wants,
@@ -167,11 +190,11 @@
                     }
                 };
                 self.sent |= Some(&value) == self.wants.as_ref();
-                self.step = Step::Accepting { accepted: BTreeSet::new(), value };
-                out.push(Out::Keepers(Ask::Accept(self.ballot, value)));
+                self.step = Step::Accepting { accepted: BTreeSet::new(), value, rests: rests.clone() };
+                out.push(Out::Keepers(Ask::Accept(self.ballot, value, rests)));
             }
             Answer::Accepted(ballot) if ballot == self.ballot => {
-                let Step::Accepting { accepted, value } = &mut self.step else { return };
+                let Step::Accepting { accepted, value, .. } = &mut self.step else { return };
                 accepted.insert(keeper);
                 if accepted.len() < most {
                     return;
@@ -233,7 +256,9 @@
             // What it asked or what was answered may have been lost.
             let again = match &self.step {
                 Step::Preparing { .. } if !self.outrun => Ask::Prepare(self.ballot),
-                Step::Accepting { value, .. } if !self.outrun => Ask::Accept(self.ballot, *value),
+                Step::Accepting { value, rests, .. } if !self.outrun => {
+                    Ask::Accept(self.ballot, *value, rests.clone())
+                }
                 _ => return self.prepare(now, out),
             };
             self.next = now + self.again_us;
--- a/crates/accord/src/record.rs
+++ b/crates/accord/src/record.rs
@@ -37,6 +37,12 @@
         Record { keeper: keeper.into(), state: 1, durable: Durable::first(), text: String::new() }
     }
 
+    /// Of one that takes the place of a keeper that is gone for good: it learns from the others what that one promised.
+    pub fn joining(keeper: &str) -> Record {
+        let durable = Durable { joining: true, ..Durable::default() };
+        Record { keeper: keeper.into(), state: 1, durable, text: String::new() }
+    }
+
     pub fn write(&self) -> Vec<u8> {
         let mut bytes = [&MARK[..], &[MAJOR, MINOR]].concat();
         bytes.extend(postcard::to_allocvec(self).unwrap_or_default());
@@ -109,7 +115,7 @@
     fn record(state: u64) -> Record {
         let policy = Policy { version: 3, digest: sha256("text"), parent: [4; 32] };
         let ballot = Ballot { number: state, proposer: 5 };
-        let durable = Durable { promised: ballot, accepted: Some((ballot, policy)) };
+        let durable = Durable { promised: ballot, accepted: Some((ballot, policy)), ..Durable::default() };
         Record { keeper: "n1".into(), state, durable, text: "text".into() }
     }
 
--- a/crates/accord/src/tenant.rs
+++ b/crates/accord/src/tenant.rs
@@ -102,6 +102,11 @@
         self.leases.values().flatten().flat_map(|l| [l.from, l.till])
     }
 
+    /// Another keeper has taken the place of this one: its leases count no more. What it accepted it did accept.
+    pub fn outlived(&mut self, keeper: u64) {
+        self.leases.remove(&keeper);
+    }
+
     /// The last that is known to be chosen, and by which ballot: any keeper may accept it by that.
     pub fn chosen(&self) -> Option<(Ballot, Policy)> {
         let (id, ballot) = self.chosen.last_key_value()?;
--- a/crates/accord/tests/nodes.rs
+++ b/crates/accord/tests/nodes.rs
@@ -25,6 +25,8 @@
     rate: u64,
     stopped: bool,
     life: u64,
+    /// Of before its folder was lost.
+    copy: Option<Record>,
     /// Letters that come while it is stopped.
     waiting: Vec<(usize, Vec<u8>)>,
 }
@@ -46,6 +48,11 @@
     high: u64,
     /// Steps in which one that runs held nothing while the keepers were well.
     without: usize,
+    /// The keeper whose folder may be lost, and put back.
+    frail: usize,
+    /// It was lost so often, and a copy put back.
+    lost: usize,
+    back: usize,
 }
 
 /// No gateway takes a class that is worth this; one takes none that is worth that.
@@ -81,6 +88,9 @@
             held: BTreeSet::new(),
             high: 0,
             without: 0,
+            frail: seed as usize % KEEPERS,
+            lost: 0,
+            back: 0,
         };
         for n in 0..ALL {
             let (from, rate) = (w.below(1_000_000_000), 990 + w.below(21));
@@ -94,6 +104,7 @@
                 rate,
                 stopped: false,
                 life: 0,
+                copy: None,
                 waiting,
             });
             w.start(n);
@@ -311,11 +322,50 @@
             14 => self.parts = std::array::from_fn(|_| self.below(2) as usize),
             15 | 16 => self.parts = [0; ALL],
             17 => self.loss = [0, 10, 30][self.below(3) as usize],
+            21 if self.below(3) == 0 => self.loses(),
+            22 if self.below(3) == 0 => self.puts_back(),
             18..21 if !self.members[n].stopped => self.propose(n),
             _ => {}
         }
     }
 
+    fn show(&self, what: &str) {
+        if std::env::var_os("SHOW").is_some() {
+            eprintln!("{:.2} n{} {what}", self.now as f64 / 1e6, self.frail);
+        }
+    }
+
+    /// A keeper's folder is lost for good, and another is set up in its place.
+    fn loses(&mut self) {
+        self.show("its folder is lost");
+        let n = self.frail;
+        self.kill(n);
+        let m = &mut self.members[n];
+        if !m.disk.as_ref().is_some_and(|d| d.durable.joining) {
+            m.copy = m.disk.take();
+        }
+        m.disk = Some(Record::joining(&name(n)));
+        self.lost += 1;
+        self.start(n);
+    }
+
+    /// What was taken for lost is put back: before another was set up in its place, or long after.
+    fn puts_back(&mut self) {
+        let n = self.frail;
+        let (Some(copy), Some(disk)) = (self.members[n].copy.clone(), self.members[n].disk.clone()) else {
+            return;
+        };
+        // An older copy of the one that keeps is told apart only by those who remember.
+        if disk.durable.joining || disk.durable.life > copy.durable.life {
+            self.show("its folder is put back");
+            self.kill(n);
+            let m = &mut self.members[n];
+            (m.disk, m.copy) = (Some(copy), None);
+            self.back += 1;
+            self.start(n);
+        }
+    }
+
     fn goes_on(&mut self, n: usize) {
         if std::mem::take(&mut self.members[n].stopped) {
             // Its very next request comes before anything that waits for it.
@@ -348,16 +398,28 @@
 }
 
 fn play(seeds: std::ops::Range<u64>, on_lost: OnLost) -> (usize, usize) {
-    let (mut changes, mut nowhere) = (0, 0);
+    let (mut changes, mut nowhere, mut lost, mut back) = (0, 0, 0, 0);
     for seed in seeds {
         let mut w = World::new(seed, on_lost);
+        if std::env::var_os("SHOW").is_some() {
+            eprintln!("seed {seed}");
+        }
         w.run(1_000_000);
         for _ in 0..2_500 {
             w.troubles();
             w.step();
         }
         w.all_well();
+        w.run(2_000_000);
+        // Put back from a copy it is never of use again.
+        let frail = w.members[w.frail].node.as_ref().and_then(Node::keeps);
+        if w.back > 0 || frail.is_some_and(|keeps| keeps.is_err()) {
+            w.loses();
+        }
         w.run(PATIENCE + 4_000_000);
+        let keeps = w.members[w.frail].node.as_ref().and_then(Node::keeps);
+        assert!(keeps.as_ref().is_some_and(Result::is_ok), "seed {seed}: {keeps:?}");
+        (lost, back) = (lost + w.lost, back + w.back);
         let standings = w.standings();
         let last = w.in_force.last_key_value().map_or(0, |(v, _)| *v);
         let Standing::Under(id, None) = standings[0] else { panic!("seed {seed}: {standings:?}") };
@@ -384,6 +446,8 @@
         assert!(proposed && w.in_force.len() > before, "seed {seed}: nothing can be changed any more");
         (changes, nowhere) = (changes + w.in_force.len(), nowhere + w.nowhere.len());
     }
+    println!("{lost} folders lost, {back} put back");
+    assert!(lost > changes / 50 && back > 0, "{lost} {back}: the schedules show both");
     (changes, nowhere)
 }
 
--- a/crates/accord/tests/promise.rs
+++ b/crates/accord/tests/promise.rs
@@ -82,7 +82,7 @@
             w.clocks.push(Clock { from, rate });
         }
         for k in 0..KEEPERS {
-            let keeper = Keeper::new(TIMES, Durable::default(), w.clocks[k].at(w.now));
+            let keeper = Keeper::new(TIMES, k as u64, Durable::default(), w.clocks[k].at(w.now));
             w.keepers.push(Some(keeper));
         }
         w
@@ -176,7 +176,7 @@
             Letter::ToProposer { proposer, keeper, answer } => {
                 let mut out = Vec::new();
                 let now = self.now;
-                self.proposers[proposer].answered(now, keeper as u64, answer, &mut out);
+                self.proposers[proposer].answered(now, keeper as u64, 0, answer, &mut out);
                 self.outs(proposer, out);
             }
             Letter::AskLease { tenant, life, keeper, asked } => {
@@ -289,7 +289,7 @@
 
     fn start(&mut self, k: usize) {
         let at = self.clocks[k].at(self.now);
-        self.keepers[k] = Some(Keeper::new(TIMES, self.disks[k].clone(), at));
+        self.keepers[k] = Some(Keeper::new(TIMES, k as u64, self.disks[k].clone(), at));
     }
 }
 
--- a/crates/frosthatch/src/inquiry.rs
+++ b/crates/frosthatch/src/inquiry.rs
@@ -176,7 +176,7 @@
     Ok(())
 }
 
-pub fn init_keeper(name: &str, own: Option<&Path>) -> Result<(), String> {
+pub fn init_keeper(name: &str, replaces: bool, own: Option<&Path>) -> Result<(), String> {
     let own = operator::read(own).map_err(|e| joined(&e))?;
     let agreed = own.policy.ok_or("the operator's file has no [policy]")?;
     if !agreed.keepers.iter().any(|k| k == name) {
@@ -184,7 +184,7 @@
     }
     let folder = agreed.folder.ok_or("policy.folder is not named")?;
     std::fs::create_dir_all(&folder).map_err(|e| format!("{}: {e}", folder.display()))?;
-    Folder::open(&folder)?.init(name)?;
+    Folder::open(&folder)?.init(name, replaces)?;
     println!("{name} keeps in {}", folder.display());
     Ok(())
 }
--- a/crates/frosthatch/src/main.rs
+++ b/crates/frosthatch/src/main.rs
@@ -98,6 +98,9 @@
         /// The keeper's name as a member.
         #[arg(long)]
         name: String,
+        /// It takes the place of a keeper that is gone for good, or whose folder is lost.
+        #[arg(long)]
+        replaces: bool,
     },
     /// The form of a document, as JSON Schema.
     Schema,
@@ -134,7 +137,9 @@
         Some(Cmd::Policy { what: Agree::Check { file }, .. }) => {
             ended(inquiry::check_policy(&file, operator))
         }
-        Some(Cmd::Policy { what: Agree::Init { name }, .. }) => ended(inquiry::init_keeper(&name, operator)),
+        Some(Cmd::Policy { what: Agree::Init { name, replaces }, .. }) => {
+            ended(inquiry::init_keeper(&name, replaces, operator))
+        }
         Some(Cmd::Policy { what: Agree::Schema, .. }) => {
             println!("{}", frosthatch_accord::document::Document::schema());
             ExitCode::SUCCESS
--- a/crates/lab/src/rig/agreed.rs
+++ b/crates/lab/src/rig/agreed.rs
@@ -36,7 +36,9 @@
         let agreed = Agreed { folder, keepers, lease_ms };
         for n in 0..keepers {
             fs::create_dir_all(agreed.folder_of(n)).expect("a folder");
-            Folder::open(&agreed.folder_of(n)).and_then(|f| f.init(&format!("n{n}"))).expect("a first state");
+            Folder::open(&agreed.folder_of(n))
+                .and_then(|f| f.init(&format!("n{n}"), false))
+                .expect("a first state");
         }
         agreed
     }
