--- a/crates/accord/tests/nodes.rs
+++ b/crates/accord/tests/nodes.rs
@@ -50,6 +50,8 @@
     without: usize,
     /// The keeper whose folder may be lost, and put back.
     frail: usize,
+    /// The larger the longer its folder lasts.
+    lasts: u64,
     /// It was lost so often, and a copy put back.
     lost: usize,
     back: usize,
@@ -89,6 +91,7 @@
             high: 0,
             without: 0,
             frail: seed as usize % KEEPERS,
+            lasts: 3,
             lost: 0,
             back: 0,
         };
@@ -322,8 +325,9 @@
             14 => self.parts = std::array::from_fn(|_| self.below(2) as usize),
             15 | 16 => self.parts = [0; ALL],
             17 => self.loss = [0, 10, 30][self.below(3) as usize],
-            21 if self.below(3) == 0 => self.loses(),
-            22 if self.below(3) == 0 => self.puts_back(),
+            21 if self.below(self.lasts) == 0 => self.loses(),
+            22 if self.below(self.lasts) == 0 => self.puts_back(),
+            23..30 if self.lasts == 1 && !self.members[n].stopped => self.propose(n),
             18..21 if !self.members[n].stopped => self.propose(n),
             _ => {}
         }
@@ -397,10 +401,11 @@
     }
 }
 
-fn play(seeds: std::ops::Range<u64>, on_lost: OnLost) -> (usize, usize) {
+fn play(seeds: std::ops::Range<u64>, on_lost: OnLost, lasts: u64) -> (usize, usize) {
     let (mut changes, mut nowhere, mut lost, mut back) = (0, 0, 0, 0);
     for seed in seeds {
         let mut w = World::new(seed, on_lost);
+        w.lasts = lasts;
         if std::env::var_os("SHOW").is_some() {
             eprintln!("seed {seed}");
         }
@@ -453,17 +458,23 @@
 
 #[test]
 fn no_schedule_breaks_the_promise() {
-    let (changes, nowhere) = play(0..120, OnLost::Refuse);
+    let (changes, nowhere) = play(0..120, OnLost::Refuse, 3);
     println!("{changes} changes in force, {nowhere} nowhere");
     assert!(changes > 300 && nowhere > 300, "{changes} {nowhere}: the schedules show both");
 }
 
 #[test]
 fn nor_where_the_stricter_of_both_is_served_without_a_lease() {
-    let (changes, _) = play(1_000..1_030, OnLost::Stricter);
+    let (changes, _) = play(1_000..1_030, OnLost::Stricter, 3);
     assert!(changes > 60, "{changes}");
 }
 
+#[test]
+fn nor_does_one_whose_folder_is_lost_and_put_back_again_and_again() {
+    let (changes, _) = play(2_000..2_120, OnLost::Refuse, 1);
+    assert!(changes > 200, "{changes}");
+}
+
 /// One way down of three keepers, and ten changes: nobody is without a lease but for its turns.
 #[test]
 fn a_keeper_that_is_gone_costs_nothing_and_one_that_comes_back_catches_up() {
--- a/crates/frosthatch/tests/policy.rs
+++ b/crates/frosthatch/tests/policy.rs
@@ -1,5 +1,6 @@
 //! Several real processes that agree on their policy, and faults between them.
 
+use frosthatch_accord::folder::Folder;
 use frosthatch_lab::rig::agreed::{self, document, Agreed};
 use frosthatch_lab::rig::{fleet_file, Act, Process, Relay, Stage};
 use frosthatch_lab::site::Node;
@@ -235,3 +236,43 @@
     assert_eq!(fleet.propose(0, &first).0, "in force");
     fleet.all_hold(1);
 }
+
+/// A keeper's folder is lost; another is set up in its place, and bears the loss of a third one; the old folder is of no use any more.
+#[test]
+fn a_keeper_is_replaced_and_its_old_folder_is_told_apart() {
+    let mut fleet = Fleet::new("replaced", 4, "");
+    let first = document(1, "", 100.0);
+    assert_eq!(fleet.propose(3, &first).0, "in force");
+    fleet.all_hold(1);
+    fleet.stage.act(&Act::Kill { who: vec![0] });
+    let folder = fleet.agreed.folder_of(0);
+    let old = folder.with_extension("old");
+    std::fs::rename(&folder, &old).expect("it is moved");
+    std::fs::create_dir(&folder).expect("a folder");
+    let keeps = |f: &Fleet| agreed::status(f.console(0)).map_or(String::new(), |s| s["keeps"].to_string());
+    // An empty folder is not taken for a new keeper's.
+    fleet.stage.start(0);
+    fleet.until("it is told", |f| keeps(f).contains("policy init"));
+    fleet.all_hold(1);
+    fleet.stage.act(&Act::Kill { who: vec![0] });
+    let made = Folder::open(&folder).and_then(|f| f.init("n0", true));
+    assert_eq!(made, Ok(()));
+    fleet.stage.start(0);
+    fleet.until("it has joined", |f| keeps(f).contains("state 2"));
+    fleet.all_hold(1);
+    fleet.stage.act(&Act::Kill { who: vec![1] });
+    fleet.until("it is held dead", |f| f.stage.views().iter().flatten().all(|v| v.ready == 3));
+    let second = document(2, &agreed::digest(&first), 50.0);
+    assert_eq!(fleet.propose(3, &second).0, "in force");
+    fleet.all_hold(2);
+    fleet.stage.start(1);
+    fleet.all_hold(2);
+    fleet.stage.act(&Act::Kill { who: vec![0] });
+    std::fs::remove_dir_all(&folder).expect("it is removed");
+    std::fs::rename(&old, &folder).expect("it is put back");
+    fleet.stage.start(0);
+    fleet.until("it is told", |f| keeps(f).contains("put back from a copy"));
+    fleet.all_hold(2);
+    assert!((0..4).all(|n| fleet.asks(n) == 200));
+    fleet.kept(1);
+}
