--- a/crates/accord/src/keeper.rs
+++ b/crates/accord/src/keeper.rs
@@ -10,7 +10,7 @@
 use std::collections::BTreeMap;
 
 /// What has to be on disk before an answer goes out.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct Durable {
     pub promised: Ballot,
     pub accepted: Option<(Ballot, Policy)>,
@@ -29,7 +29,7 @@
     }
 }
 
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub enum Ask {
     Prepare(Ballot),
     /// The same, and the keeper of this place is another from now on, with the ballot's number as its life.
@@ -40,7 +40,7 @@
     Lease,
 }
 
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub enum Answer {
     /// No ballot below it is accepted any more; what was accepted so far.
     Promised(Ballot, Option<(Ballot, Policy)>),
@@ -55,7 +55,7 @@
 
 /// Times from when it was sent; with each policy the ballot by which it was accepted here: it is chosen only where a majority
 /// accepted it by one and the same.
-#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct Grant {
     /// The policy before, for so long.
     pub before: Option<(Id, Ballot, u64)>,
@@ -63,6 +63,7 @@
     pub now: Option<(Policy, Ballot, u64, u64)>,
 }
 
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
 pub struct Keeper {
     times: Times,
     /// Its place among the keepers.
--- a/crates/accord/src/lib.rs
+++ b/crates/accord/src/lib.rs
@@ -55,7 +55,7 @@
 }
 
 /// How long leases last, and by how much each clock may be fast or slow.
-#[derive(Clone, Copy, Debug, PartialEq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub struct Times {
     pub lease_us: u64,
     /// Parts in a thousand; below a thousand.
--- a/crates/accord/src/proposer.rs
+++ b/crates/accord/src/proposer.rs
@@ -6,7 +6,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 
 /// How a change ended, as far as this proposer knows.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
 pub enum End {
     /// It is in force, for good.
     InForce,
@@ -27,6 +27,7 @@
     End(End),
 }
 
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
 enum Step {
     Checking {
         yes: BTreeSet<u64>,
@@ -44,6 +45,7 @@
     Done,
 }
 
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
 pub struct Proposer {
     keepers: usize,
     /// None: it only finishes what was begun.
--- a/crates/accord/src/tenant.rs
+++ b/crates/accord/src/tenant.rs
@@ -8,7 +8,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 
 /// A lease by one keeper, on what it accepted by a ballot.
-#[derive(Clone, Copy, Debug, PartialEq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 struct Lease {
     id: Id,
     ballot: Ballot,
@@ -16,6 +16,7 @@
     till: u64,
 }
 
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
 pub struct Tenant {
     times: Times,
     keepers: usize,
