--- a/crates/lab/src/policy.rs
+++ b/crates/lab/src/policy.rs
@@ -349,7 +349,7 @@
         }
         // Two keepers on one side.
         Wrong::TwoParts => {
-            let in_a = |n: &usize| *n != keeper && (*n < KEEPERS || n % 2 == 0);
+            let in_a = |n: &usize| *n != keeper && (*n < KEEPERS || n.is_multiple_of(2));
             let (a, b): (Vec<usize>, Vec<usize>) = (0..ALL).partition(in_a);
             w.site.shut(&b);
             by = a[0];
