--- a/crates/frosthatch/tests/command_line.rs
+++ b/crates/frosthatch/tests/command_line.rs
@@ -56,8 +56,8 @@
         ("settings.services[0].aimUs", "correct its type"),
         ("settings.tariffs[2].burst", "correct its type"),
         ("known.targets[0]", "endpoint"),
-        ("line 2", "[\"list\", \"dns-sd\"]"),
-        ("line 3", "membership.port is not known"),
+        ("line 2, column 10", "[\"list\", \"dns-sd\"]"),
+        ("line 3, column 1", "membership.port is not known"),
     ] {
         let told = said.iter().any(|l| l.contains(&format!(": {place}: ")) && l.contains(right));
         assert!(told, "{place}: {said:#?}");
@@ -97,3 +97,43 @@
     assert!(lines(&version)[0].starts_with("frosthatch "));
     assert_eq!(run(&fine(), None, &["--wrong"]).status.code(), Some(2));
 }
+
+/// What can be done without a running gateway: a document is checked by itself, against this gateway, and a keeper's folder is made once.
+#[test]
+fn a_policy_is_checked_and_a_keeper_set_up_without_a_gateway() {
+    let config = fine();
+    // Mistakes go to standard error, but for those that `check` is there to tell.
+    let said = |out: &Output| {
+        let all = [out.stdout.clone(), out.stderr.clone()].concat();
+        String::from_utf8_lossy(&all).lines().map(String::from).collect::<Vec<_>>()
+    };
+    let folder = std::env::temp_dir().join(format!("frosthatch-init-{}", std::process::id()));
+    let key = config_file(&"k".repeat(40));
+    let table = |more: &str| {
+        let fleet = format!("[fleet]\nlisten = \"127.0.0.1:0\"\nkey_file = \"{}\"\n", key.display());
+        format!("{fleet}[policy]\nkeepers = [\"a\", \"b\", \"c\"]\nfolder = {folder:?}\n{more}")
+    };
+    let init = |name: &str| run(&config, Some(&table("")), &["policy", "init", "--name", name]);
+    assert!(said(&init("x")).iter().any(|l| l.contains("x is none of the keepers a, b, c")));
+    assert!(init("a").status.success());
+    let again = init("a");
+    assert!(!again.status.success() && said(&again).iter().any(|l| l.contains("there is a state already")));
+    let _ = std::fs::remove_dir_all(&folder);
+
+    let wrong = run(&config, Some(&table("lease_ms = 1\non_lost = \"hope\"\n")), &["check"]);
+    for what in ["policy.lease_ms is 1; write a whole number from 200", "policy.on_lost is \"hope\""] {
+        assert!(said(&wrong).iter().any(|l| l.contains(what)), "{what}: {:?}", said(&wrong));
+    }
+    let alone = run(&config, Some("[policy]\nkeepers = [\"a\", \"a\"]\n"), &["check"]);
+    assert!(said(&alone).iter().any(|l| l.contains("there is no [fleet]")), "{:?}", said(&alone));
+    assert!(said(&alone).iter().any(|l| l.contains("a name twice")), "{:?}", said(&alone));
+
+    // In order, but this gateway knows no such plan.
+    let text = "version = 1\n[plans.none]\nrate = 1\nburst = 2\n[classes.none]\naim_ms = 5\nworth = 1\nlate_worth = 0\n";
+    let document = config_file(text);
+    let check = run(&config, None, &["policy", "check", document.to_str().expect("a path")]);
+    assert!(!check.status.success());
+    assert!(said(&check).iter().any(|l| l.contains("there is no plan \"none\" here")), "{:?}", said(&check));
+    let schema = run(&config, None, &["policy", "schema"]);
+    assert!(said(&schema).iter().any(|l| l.contains("ceiling_depth")));
+}
