Clocks that drift among real processes: builds for tests take a skew; leases bear 1%

tests/policy.rs: five processes whose clocks go 1% fast or slow while six changes are made under requests all the time: nobody lets one in under the old version after another has under the new (0 us).

--- a/crates/frosthatch/src/operator.rs
+++ b/crates/frosthatch/src/operator.rs
@@ -46,6 +46,8 @@
     pub patience: Duration,
     /// Where each request that is let in is written down, with its policy.
     pub audit: Option<PathBuf>,
+    /// Thousandths by which this gateway's clock is made fast; in builds for tests only.
+    pub skew: i64,
 }
 
 /// The `[fleet]` table, or `[peers]`, its earlier form.
@@ -470,8 +472,9 @@
     };
     let patience = s.millis(r, "patience_ms", 500..=600_000, Duration::from_secs(10));
     let audit = s.text(r, "audit").map(|f| folder.join(f));
+    let skew = if cfg!(debug_assertions) { s.number(r, "skew", -100..=100, 0) } else { 0 };
     s.finish(r);
-    Some(Agreed { keepers, folder: own, lease, drift, on_lost, patience, audit })
+    Some(Agreed { keepers, folder: own, lease, drift, on_lost, patience, audit, skew })
 }
 
 /// The fleet's common keys.
--- a/crates/frosthatch/src/policy.rs
+++ b/crates/frosthatch/src/policy.rs
@@ -132,6 +132,9 @@
     plan: node::Plan,
     running: Rc<RefCell<BTreeMap<String, String>>>,
     /// What the decisions were told, and under what they serve.
+    /// When it started, and by how many thousandths its clock is made fast from then on.
+    began: u64,
+    skew: i64,
     given: Cell<Option<Standing>>,
     under: Cell<(Id, Option<Id>)>,
     looked_at: Cell<u64>,
@@ -188,6 +191,8 @@
             settings,
             plan,
             running,
+            began: engine.now(),
+            skew: agreed.skew,
             given: Cell::default(),
             under: Cell::default(),
             looked_at: Cell::new(0),
@@ -213,6 +218,16 @@
         Ok(desk)
     }
 
+    /// The time by which leases go.
+    fn now(&self) -> u64 {
+        self.clock(self.engine.now())
+    }
+
+    fn clock(&self, now: u64) -> u64 {
+        let since = now.saturating_sub(self.began) as i64;
+        now.saturating_add_signed(since * self.skew / 1_000)
+    }
+
     /// Takes its folder up; what is wrong with it is told.
     fn keep(&self, path: &Path) {
         let read = Folder::open(path).and_then(|folder| {
@@ -224,7 +239,7 @@
             Ok(record) => eprintln!("policy: keeps state={}", record.state),
             Err(why) => eprintln!("policy: keeper-silent why={why:?}"),
         }
-        self.node.borrow_mut().keep_from(self.engine.now(), read);
+        self.node.borrow_mut().keep_from(self.now(), read);
     }
 
     async fn run(
@@ -239,11 +254,11 @@
             let mut out = Vec::new();
             tokio::select! {
                 Some(how) = written.recv() => {
-                    self.node.borrow_mut().stored(self.engine.now(), how, &mut out);
+                    self.node.borrow_mut().stored(self.now(), how, &mut out);
                 }
                 _ = ticks.tick() => {
                     let there = self.others();
-                    self.node.borrow_mut().tick(self.engine.now(), &there, &mut out);
+                    self.node.borrow_mut().tick(self.now(), &there, &mut out);
                     if let Some(path) = folder.as_ref().filter(|_| self.folder.borrow().is_none()) {
                         without = (without + 1) % FOLDER_TICKS;
                         if without == 0 {
@@ -297,14 +312,14 @@
     /// What is wrong with it.
     pub fn propose(&self, text: &str) -> Result<u64, String> {
         let (there, mut out) = (self.others(), Vec::new());
-        let number = self.node.borrow_mut().propose(self.engine.now(), text, &there, &mut out);
+        let number = self.node.borrow_mut().propose(self.now(), text, &there, &mut out);
         self.carry_out(out);
         number
     }
 
     pub fn abort(&self, number: u64) -> bool {
         let mut out = Vec::new();
-        let may = self.node.borrow_mut().abort(self.engine.now(), number, &mut out);
+        let may = self.node.borrow_mut().abort(self.now(), number, &mut out);
         self.carry_out(out);
         may
     }
@@ -316,7 +331,7 @@
     }
 
     pub fn shown(&self) -> Shown {
-        let now = self.engine.now();
+        let now = self.now();
         let mut node = self.node.borrow_mut();
         let standing = node.standing(now);
         let leased = node.leased_till().map_or(0, |(_, till)| till.saturating_sub(now));
@@ -360,7 +375,7 @@
 impl Reader for Desk {
     fn letter(&self, from: &str, bytes: &[u8]) {
         let mut out = Vec::new();
-        self.node.borrow_mut().letter(self.engine.now(), from, bytes, &mut out);
+        self.node.borrow_mut().letter(self.now(), from, bytes, &mut out);
         self.carry_out(out);
     }
 }
@@ -368,7 +383,7 @@
 impl Warrant for Desk {
     fn due(&self, now: Micros, events: &mut VecDeque<Event>) {
         self.looked_at.set(now);
-        let standing = self.node.borrow_mut().standing(now);
+        let standing = self.node.borrow_mut().standing(self.clock(now));
         if Some(standing) == self.given.get() {
             return;
         }
--- a/crates/frosthatch/tests/policy.rs
+++ b/crates/frosthatch/tests/policy.rs
@@ -4,7 +4,7 @@
 use frosthatch_lab::rig::agreed::{self, document, Agreed};
 use frosthatch_lab::rig::{fleet_file, Act, Process, Relay, Stage};
 use frosthatch_lab::site::Node;
-use frosthatch_standins::{config_file, ok, target, Ask, Discovery, Server};
+use frosthatch_standins::{config_file, ok, target, Ask, Client, Discovery, Server};
 use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::time::{Duration, Instant};
@@ -25,6 +25,11 @@
 impl Fleet {
     /// The first three keep. `more`: of their tables.
     fn new(name: &str, processes: usize, more: &str) -> Fleet {
+        Fleet::each(name, processes, |_| more.to_string())
+    }
+
+    /// The same, with more for each of its own.
+    fn each(name: &str, processes: usize, more: impl Fn(usize) -> String) -> Fleet {
         let runtime = Runtime::new().expect("a runtime");
         let server = Server::new(|_| ok("done"));
         let agent = Discovery::new(&target("s0", server.address, 1, "Ready"));
@@ -35,7 +40,7 @@
             let discovery = agent.address;
             let node =
                 Node { gateways: processes, me: n, discovery, counter: None, sockets: 256, memory_mb: 32 };
-            Process::new(node, Some(fleet_file(&relay, n, &key, &agreed.table(n, more))))
+            Process::new(node, Some(fleet_file(&relay, n, &key, &agreed.table(n, &more(n)))))
         };
         let stage = Stage::new((0..processes).map(process).collect(), relay);
         let mut fleet = Fleet { stage, agreed, key, _agent: agent, _server: server, _runtime: runtime };
@@ -276,3 +281,33 @@
     assert!((0..4).all(|n| fleet.asks(n) == 200));
     fleet.kept(1);
 }
+
+/// Clocks that drift by as much as is allowed for, fast and slow, at keepers and at others, while requests come all the time: nobody lets
+/// one in under the old version once somebody has under the new one.
+#[test]
+fn clocks_that_drift_apart_let_nobody_serve_too_long() {
+    let fleet = Fleet::each("drift", 5, |n| format!("skew = {}\n", [10, -10, 0, -10, 10][n]));
+    let ending = std::sync::atomic::AtomicBool::new(false);
+    std::thread::scope(|scope| {
+        for address in fleet.stage.addresses() {
+            let ending = &ending;
+            scope.spawn(move || {
+                let text = Ask::check().with("X-Tier", "mellem");
+                while !ending.load(std::sync::atomic::Ordering::Relaxed) {
+                    Client::at(address).ask(&text.text());
+                    std::thread::sleep(Duration::from_millis(2));
+                }
+            });
+        }
+        let mut parent = String::new();
+        for version in 1..=6 {
+            let document = document(version, &parent, 1_000.0);
+            assert_eq!(fleet.propose(version as usize % 5, &document).0, "in force");
+            fleet.all_hold(version);
+            parent = agreed::digest(&document);
+        }
+        ending.store(true, std::sync::atomic::Ordering::Relaxed);
+    });
+    let (window, seen) = agreed::window(&fleet.agreed.let_in(5));
+    assert_eq!((window, seen), (0, 6), "for so many us somebody let requests in under an old version");
+}
--- a/crates/standins/src/program.rs
+++ b/crates/standins/src/program.rs
@@ -131,9 +131,7 @@
 
     /// At an address that it shares with another process.
     pub fn client_at(&self, address: SocketAddr) -> Client {
-        let stream = TcpStream::connect(address).expect("the gateway accepts");
-        stream.set_read_timeout(Some(LONG)).expect("a time-out");
-        Client { write: stream.try_clone().expect("a clone"), read: BufReader::new(stream) }
+        Client::at(address)
     }
 
     pub fn ask(&self, request: &Ask) -> Message {
@@ -189,6 +187,14 @@
 }
 
 impl Client {
+    /// # Panics
+    /// If nobody accepts it there.
+    pub fn at(address: SocketAddr) -> Client {
+        let stream = TcpStream::connect(address).expect("the gateway accepts");
+        stream.set_read_timeout(Some(LONG)).expect("a time-out");
+        Client { write: stream.try_clone().expect("a clone"), read: BufReader::new(stream) }
+    }
+
     pub fn send(&mut self, text: &str) {
         // The gateway may have answered and closed before it has read all.
         let _ = self.write.write_all(text.as_bytes());
