--- a/crates/accord/src/node.rs
+++ b/crates/accord/src/node.rs
@@ -108,6 +108,8 @@
     members: Vec<String>,
     began: u64,
     ended: u64,
+    /// What was logged of it last.
+    step: &'static str,
 }
 
 struct Wanted {
@@ -365,7 +367,7 @@
         let above = self.tenant.highest_ballot();
         let (keepers, patience, again) = (self.plan.keepers.len(), self.plan.patience_us, self.plan.again_us);
         let proposer = Proposer::new(now, number, above, policy, of, keepers, patience, again);
-        self.proposals.insert(number, Proposal { proposer, policy, members, began: now, ended: 0 });
+        self.proposals.insert(number, Proposal { proposer, policy, members, began: now, ended: 0, step: "" });
         Ok(number)
     }
 
@@ -492,6 +494,9 @@
 
     /// A keeper's life, by somebody's word: what an earlier one in its place said is forgotten.
     fn lives(&mut self, place: u64, life: u64) {
+        if place >= self.plan.keepers.len() as u64 {
+            return;
+        }
         let known = self.lives.entry(place).or_default();
         if life > *known {
             *known = life;
@@ -713,7 +718,12 @@
                         Ask::Prepare(_) => "prepare",
                         _ => "accept",
                     };
-                    out.push(Out::Log(format!("policy: {name} number={number}")));
+                    // Repeats are no news.
+                    let p = self.proposals.get_mut(&number).filter(|p| p.step != name);
+                    if let Some(p) = p {
+                        p.step = name;
+                        out.push(Out::Log(format!("policy: {name} number={number}")));
+                    }
                     self.ask(number, &ask, out);
                 }
                 Step::End(end) => {
