The smaller of two terms is decided in policy/terms.rs alone

Read again: frosthatch/src/policy.rs decided how much passes under two policies at once, with the same smaller ceiling as policy/terms.rs. That is the module's to say: Terms::smaller stands there, and one piece makes the smaller of two ceilings. Its test moved along, its assertions are as before.

--- a/crates/frosthatch/src/policy.rs
+++ b/crates/frosthatch/src/policy.rs
@@ -104,25 +104,6 @@
     bad.is_empty().then_some(terms).ok_or(bad.join("; "))
 }
 
-/// The smaller of both, plan by plan; worth and aims are the first one's.
-fn smaller(a: Terms, b: &Terms) -> Terms {
-    let ceiling = |a: Option<Ceiling>, b: Option<Ceiling>| match (a, b) {
-        (Some(a), Some(b)) => Some(Ceiling { rate: a.rate.min(b.rate), depth: a.depth.min(b.depth) }),
-        (a, b) => a.or(b),
-    };
-    // No cap is the largest.
-    let cap = |a: u32, b: u32| if a == 0 || b == 0 { a.max(b) } else { a.min(b) };
-    let plan = |(a, b): (Plan, &Plan)| Plan {
-        rate: a.rate.min(b.rate),
-        burst: a.burst.min(b.burst),
-        max_open: cap(a.max_open, b.max_open),
-        ceiling: ceiling(a.ceiling, b.ceiling),
-        ..a
-    };
-    let plans = a.plans.into_iter().zip(&b.plans).map(plan).collect();
-    Terms { plans, ..a }
-}
-
 /// This gateway's part in the agreement.
 pub struct Desk {
     node: RefCell<Node>,
@@ -131,10 +112,10 @@
     settings: Settings,
     plan: node::Plan,
     running: Rc<RefCell<BTreeMap<String, String>>>,
-    /// What the decisions were told, and under what they serve.
     /// When it started, and by how many thousandths its clock is made fast from then on.
     began: u64,
     skew: i64,
+    /// What the decisions were told, and under what they serve.
     given: Cell<Option<Standing>>,
     under: Cell<(Id, Option<Id>)>,
     looked_at: Cell<u64>,
@@ -391,7 +372,7 @@
             Standing::Under(id, with) if self.under.get() == (id, with) => true,
             Standing::Under(id, with) => match (self.terms_of(&id), with.map(|with| self.terms_of(&with))) {
                 (Some(terms), None) => self.goes_over(id, None, terms, events),
-                (Some(terms), Some(Some(other))) => self.goes_over(id, with, smaller(terms, &other), events),
+                (Some(terms), Some(Some(other))) => self.goes_over(id, with, terms.smaller(&other), events),
                 _ => false,
             },
             _ => false,
@@ -543,18 +524,4 @@
         let running = BTreeMap::from([("night".to_string(), "cd".repeat(32))]);
         assert!(terms(&set, &running, &read(&plugin)).is_err_and(|e| e.contains("is another here")));
     }
-
-    #[test]
-    fn the_smaller_of_two_is_that_of_each_figure() {
-        let set = Settings::example();
-        let of = |rate: f64, burst: f64, cap: u32, ceiling: Option<f64>| {
-            let ceiling = ceiling.map(|c| Ceiling { rate: c, depth: c });
-            let plan = Plan { rate, burst, max_open: cap, ceiling, ..set.plans[0].clone() };
-            Terms { plans: vec![plan], classes: set.classes.clone(), retries: set.retries }
-        };
-        let both = smaller(of(5.0, 20.0, 0, Some(30.0)), &of(10.0, 8.0, 4, None));
-        let p = &both.plans[0];
-        assert_eq!((p.rate, p.burst, p.max_open), (5.0, 8.0, 4));
-        assert_eq!(p.ceiling, Some(Ceiling { rate: 30.0, depth: 30.0 }));
-    }
 }
--- a/crates/turndeck/src/policy/terms.rs
+++ b/crates/turndeck/src/policy/terms.rs
@@ -9,18 +9,35 @@
 
 const WINDOW_US: Micros = 250_000; // µs; others may still, or already, serve under the other terms
 
-/// What both allow.
-fn smaller(a: Ceiling, b: Ceiling) -> Ceiling {
-    Ceiling { rate: a.rate.min(b.rate), depth: a.depth.min(b.depth) }
+/// The ceiling that keeps to both; where one has none, the other's.
+fn both(a: Option<Ceiling>, b: Option<Ceiling>) -> Option<Ceiling> {
+    match (a, b) {
+        (Some(a), Some(b)) => Some(Ceiling { rate: a.rate.min(b.rate), depth: a.depth.min(b.depth) }),
+        (a, b) => a.or(b),
+    }
 }
 
 impl Quota {
     fn smaller(self, other: Quota) -> Quota {
-        let ceiling = match (self.ceiling, other.ceiling) {
-            (Some(a), Some(b)) => Some(smaller(a, b)),
-            (a, b) => a.or(b),
+        let (rate, most) = (self.rate.min(other.rate), self.most.min(other.most));
+        Quota { rate, most, ceiling: both(self.ceiling, other.ceiling), ..other }
+    }
+}
+
+impl Terms {
+    /// The smaller of both, plan by plan; worth, aims and retries are these.
+    pub fn smaller(self, other: &Terms) -> Terms {
+        // No cap is the largest.
+        let cap = |a: u32, b: u32| if a == 0 || b == 0 { a.max(b) } else { a.min(b) };
+        let plan = |(a, b): (Plan, &Plan)| Plan {
+            rate: a.rate.min(b.rate),
+            burst: a.burst.min(b.burst),
+            max_open: cap(a.max_open, b.max_open),
+            ceiling: both(a.ceiling, b.ceiling),
+            ..a
         };
-        Quota { rate: self.rate.min(other.rate), most: self.most.min(other.most), ceiling, ..other }
+        let plans = self.plans.into_iter().zip(&other.plans).map(plan).collect();
+        Terms { plans, ..self }
     }
 }
 
--- a/crates/turndeck/tests/terms.rs
+++ b/crates/turndeck/tests/terms.rs
@@ -142,3 +142,17 @@
     rig.tell(Event::Standing(Standing::Open));
     assert!(sent(&rig.request("c").1).is_some());
 }
+
+#[test]
+fn the_smaller_of_two_is_that_of_each_figure() {
+    let set = Settings::example();
+    let of = |rate: f64, burst: f64, cap: u32, ceiling: Option<f64>| {
+        let ceiling = ceiling.map(|c| Ceiling { rate: c, depth: c });
+        let plan = Plan { rate, burst, max_open: cap, ceiling, ..set.plans[0].clone() };
+        Terms { plans: vec![plan], classes: set.classes.clone(), retries: set.retries }
+    };
+    let both = of(5.0, 20.0, 0, Some(30.0)).smaller(&of(10.0, 8.0, 4, None));
+    let p = &both.plans[0];
+    assert_eq!((p.rate, p.burst, p.max_open), (5.0, 8.0, 4));
+    assert_eq!(p.ceiling, Some(Ceiling { rate: 30.0, depth: 30.0 }));
+}
