Settings: numbers, missing keys and named tables are read by one piece each

Read again: a policy's document parsed numbers, told missing keys and walked its named tables in copies of what operators' files do. Now settings has whole, real, needs and tables, and both use them; the digits that were stripped of underscores are so already (a test says so). What a document leaves out of [retries] is the gateway's own in place of the same two numbers written again.

--- a/crates/accord/src/document.rs
+++ b/crates/accord/src/document.rs
@@ -1,12 +1,12 @@
 //! A policy's document: TOML, checked whole. Every mistake is told with its line and column; a document with one is no policy.
 
 use crate::{Id, Policy};
-use frosthatch_settings::{Mistake, Reader, Section};
+use frosthatch_settings::{real, whole, Mistake, Reader, Section};
 use ring::digest::{digest, SHA256};
 use schemars::JsonSchema;
 use serde::Serialize;
 use std::collections::BTreeMap;
-use toml::de::{DeTable, DeValue};
+use toml::de::DeTable;
 
 /// A document is no longer than this.
 pub const MOST_BYTES: usize = 64 << 10;
@@ -61,20 +61,14 @@
     pub late_worth: f64,
 }
 
-/// The budget of further attempts.
-#[derive(Clone, Copy, Debug, PartialEq, Serialize, JsonSchema)]
+/// The budget of further attempts; what is left out stays as gateways have it.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Serialize, JsonSchema)]
 #[schemars(deny_unknown_fields)]
 pub struct Retries {
     /// Further attempts that one first attempt earns.
-    pub share: f64,
+    pub share: Option<f64>,
     /// Those that are saved up at most.
-    pub most: f64,
-}
-
-impl Default for Retries {
-    fn default() -> Retries {
-        Retries { share: 0.15, most: 10.0 }
-    }
+    pub most: Option<f64>,
 }
 
 #[derive(Clone, Debug, PartialEq, Serialize, JsonSchema)]
@@ -85,9 +79,9 @@
 }
 
 /// What agreement is reached on.
-pub fn sha256(text: &str) -> [u8; 32] {
+pub fn sha256(of: impl AsRef<[u8]>) -> [u8; 32] {
     let mut bytes = [0; 32];
-    bytes.copy_from_slice(digest(&SHA256, text.as_bytes()).as_ref());
+    bytes.copy_from_slice(digest(&SHA256, of.as_ref()).as_ref());
     bytes
 }
 
@@ -124,10 +118,8 @@
         }
         let mut root = Section::new("", table.get_ref(), table.span());
         let a_version = "write a whole number, one above the policy before; the first is 1";
-        let version = root.must(&mut r, "version", a_version, |v| {
-            let digits = v.as_integer()?;
-            u64::from_str_radix(digits.as_str(), digits.radix()).ok().filter(|n| *n > 0)
-        });
+        let version =
+            root.must(&mut r, "version", a_version, |v| whole(v).filter(|n| *n > 0).map(i64::unsigned_abs));
         const A_DIGEST: &str =
             "write the SHA-256 of the document before, 64 digits, as `policy status` tells it";
         let parent = root.read(&mut r, "parent", A_DIGEST, |v| unhex(v.as_str()?));
@@ -141,10 +133,9 @@
         let plans = named(&mut r, &mut root, "plans", true, plan);
         let classes = named(&mut r, &mut root, "classes", true, class);
         let plugins = named(&mut r, &mut root, "plugins", false, plugin);
-        let d = Retries::default();
-        let retries = root.table(&mut r, "retries").map_or(d, |mut s| {
-            let share = amount(&mut r, &mut s, "share", 1.0).unwrap_or(d.share);
-            let most = amount(&mut r, &mut s, "most", 1e6).unwrap_or(d.most);
+        let retries = root.table(&mut r, "retries").map_or(Retries::default(), |mut s| {
+            let share = amount(&mut r, &mut s, "share", 1.0);
+            let most = amount(&mut r, &mut s, "most", 1e6);
             s.finish(&mut r);
             Retries { share, most }
         });
@@ -186,22 +177,15 @@
     read: impl Fn(&mut Reader, &mut Section) -> Option<T>,
 ) -> BTreeMap<String, T> {
     let right = format!("write a table for each, as [{key}.name]");
-    let table = match needed {
-        true => root.must(r, key, &right, |v| v.as_table()),
-        false => root.read(r, key, &right, |v| v.as_table()),
-    };
+    if needed {
+        root.needs(r, key, &right);
+    }
     let mut all = BTreeMap::new();
-    for (name, value) in table.into_iter().flat_map(|t| t.iter()) {
-        let path = format!("{key}.{}", name.get_ref());
-        let Some(table) = value.get_ref().as_table() else {
-            r.wrong(value.span(), format!("{path} is no table"), right.as_str());
-            continue;
-        };
+    for (name, mut section) in root.tables(r, key, &right) {
         if all.len() >= MOST_NAMES {
             r.wrong(name.span(), format!("{key} names more than {MOST_NAMES}"), "name fewer");
             break;
         }
-        let mut section = Section::new(&path, table, value.span());
         let one = read(r, &mut section);
         section.finish(r);
         all.extend(one.map(|one| (name.get_ref().to_string(), one)));
@@ -211,39 +195,27 @@
 
 /// A number from 0 to `most`.
 fn amount(r: &mut Reader, s: &mut Section, key: &'static str, most: f64) -> Option<f64> {
-    s.read(r, key, format!("write a number from 0 to {most}"), |v| {
-        let number: f64 = match v {
-            DeValue::Float(f) => f.as_str().replace('_', "").parse().ok()?,
-            DeValue::Integer(i) => i.as_str().parse().ok()?,
-            _ => return None,
-        };
-        (0.0..=most).contains(&number).then_some(number)
-    })
+    s.read(r, key, from_0_to(most), |v| real(v).filter(|n| (0.0..=most).contains(n)))
 }
 
+/// The same where it must be there.
 fn must(r: &mut Reader, s: &mut Section, key: &'static str, most: f64) -> Option<f64> {
-    if !s.has(key) {
-        r.wrong(
-            s.span.clone(),
-            format!("{} is missing", s.name(key)),
-            format!("write a number from 0 to {most}"),
-        );
-    }
+    s.needs(r, key, &from_0_to(most));
     amount(r, s, key, most)
 }
 
+fn from_0_to(most: f64) -> String {
+    format!("write a number from 0 to {most}")
+}
+
 /// Units a second, or in a store.
 const MOST_UNITS: f64 = 1e9;
 
 fn plan(r: &mut Reader, s: &mut Section) -> Option<Plan> {
     let rate = must(r, s, "rate", MOST_UNITS);
     let burst = amount(r, s, "burst", MOST_UNITS);
-    if rate.is_some_and(|rate| rate > 0.0) && !s.has("burst") {
-        r.wrong(
-            s.span.clone(),
-            format!("{} is missing", s.name("burst")),
-            "write the units that its store holds",
-        );
+    if rate.is_some_and(|rate| rate > 0.0) {
+        s.needs(r, "burst", "write the units that its store holds");
     }
     let max_open = s.number(r, "max_open", 0..=1_000_000, 0) as u32;
     let ceiling_rate = amount(r, s, "ceiling_rate", MOST_UNITS);
@@ -252,9 +224,10 @@
         let what = format!("{} has half of a ceiling", s.name(""));
         r.wrong(s.span.clone(), what, "write ceiling_rate and ceiling_depth, or neither");
     }
-    for (ceiling, quota, of) in [("ceiling_rate", rate, "rate"), ("ceiling_depth", burst, "burst")] {
-        let there = if of == "rate" { ceiling_rate } else { ceiling_depth };
-        if there.zip(quota).is_some_and(|(c, q)| c < q) {
+    let pairs =
+        [("ceiling_rate", ceiling_rate, "rate", rate), ("ceiling_depth", ceiling_depth, "burst", burst)];
+    for (ceiling, most, of, quota) in pairs {
+        if most.zip(quota).is_some_and(|(most, quota)| most < quota) {
             let what = format!("{} is below {of}", s.name(ceiling));
             r.wrong(s.span_of(ceiling), what, "a ceiling is no lower than its quota");
         }
@@ -266,8 +239,7 @@
 fn class(r: &mut Reader, s: &mut Section) -> Option<Class> {
     let right = "write milliseconds, from 1 to 3600000";
     let aim_ms = s.must(r, "aim_ms", right, |v| {
-        let digits = v.as_integer()?;
-        u64::from_str_radix(digits.as_str(), digits.radix()).ok().filter(|n| (1..=3_600_000).contains(n))
+        whole(v).filter(|n| (1..=3_600_000).contains(n)).map(i64::unsigned_abs)
     });
     let worth = must(r, s, "worth", 1e9);
     let late_worth = must(r, s, "late_worth", 1.0);
@@ -285,7 +257,7 @@
     use super::*;
 
     const FINE: &str = "version = 1\n[plans.stor]\nrate = 40\nburst = 60.5\nceiling_rate = 85\nceiling_depth = 85\n\
-                        [plans.antal]\nrate = 0\nmax_open = 4\n[classes.topup]\naim_ms = 300\nworth = 2\nlate_worth = 0.5\n";
+                        [plans.antal]\nrate = 0\nburst = 1_0.5\nmax_open = 4\n[classes.topup]\naim_ms = 300\nworth = 2\nlate_worth = 0.5\n";
 
     fn said(text: &str) -> Vec<String> {
         Document::read("p.toml", text).err().unwrap_or_default().iter().map(Mistake::to_string).collect()
@@ -296,6 +268,7 @@
         let d = Document::read("p.toml", FINE).expect("in order");
         assert_eq!(d.plans["stor"].ceiling_rate, Some(85.0));
         assert_eq!((d.plans["stor"].burst, d.plans["antal"].max_open), (60.5, 4));
+        assert_eq!(d.plans["antal"].burst, 10.5, "digits may be set apart");
         assert_eq!((d.classes["topup"].aim_ms, d.retries), (300, Retries::default()));
         let first = d.policy(FINE);
         assert!(first.follows(Some(&Policy::default())) && first.digest == sha256(FINE));
--- a/crates/accord/src/record.rs
+++ b/crates/accord/src/record.rs
@@ -8,7 +8,6 @@
 
 use crate::document::sha256;
 use crate::keeper::Durable;
-use ring::digest::{digest, SHA256};
 use serde::{Deserialize, Serialize};
 
 const MARK: &[u8; 8] = b"FHKEEPER";
@@ -46,8 +45,7 @@
     pub fn write(&self) -> Vec<u8> {
         let mut bytes = [&MARK[..], &[MAJOR, MINOR]].concat();
         bytes.extend(postcard::to_allocvec(self).unwrap_or_default());
-        let sum = digest(&SHA256, &bytes);
-        bytes.extend(sum.as_ref());
+        bytes.extend(sha256(&bytes));
         bytes
     }
 
@@ -58,7 +56,7 @@
             return Err("it is no keeper's state, or not whole".into());
         }
         let (text, sum) = bytes.split_at(bytes.len() - SUM);
-        if digest(&SHA256, text).as_ref() != sum {
+        if sha256(text) != sum {
             return Err("it was damaged: its checksum is another".into());
         }
         let major = text[MARK.len()];
@@ -152,7 +150,7 @@
             let whole = record(8).write();
             let body = &whole[MARK.len() + 2..whole.len() - SUM];
             let mut bytes = [&MARK[..], &[major, minor], body, more].concat();
-            bytes.extend(digest(&SHA256, &bytes.clone()).as_ref());
+            bytes.extend(sha256(&bytes));
             bytes
         };
         assert!(Record::read(&sealed(2, 0, &[])).is_err_and(|e| e.contains("form is 2")));
--- a/crates/frosthatch/src/operator.rs
+++ b/crates/frosthatch/src/operator.rs
@@ -284,22 +284,17 @@
 
 fn plugins(r: &mut Reader, root: &mut Section, folder: &Path) -> Vec<plugins::Plan> {
     let a_table = "write a table for each plug-in, as [plugins.night]";
-    let Some(table) = root.read(r, "plugins", a_table, |v| v.as_table()) else { return Vec::new() };
     let mut all = Vec::new();
-    for (key, value) in table.iter() {
+    for (key, section) in root.tables(r, "plugins", a_table) {
         let name = key.get_ref().to_string();
         let fine = |c: char| c.is_ascii_lowercase() || c.is_ascii_digit() || c == '-';
-        match value.get_ref().as_table() {
-            Some(table) if name.len() <= 32 && name.chars().all(fine) && all.len() < MOST_PLUGINS => {
-                let section = Section::new(&format!("plugins.{name}"), table, value.span());
-                all.push(plugin(r, section, name, folder));
-            }
-            Some(_) => r.wrong(
+        match name.len() <= 32 && name.chars().all(fine) && all.len() < MOST_PLUGINS {
+            true => all.push(plugin(r, section, name, folder)),
+            false => r.wrong(
                 key.span(),
                 format!("plugins.{name} is no name"),
                 "32 of a-z, 0-9, - at most; 32 of them",
             ),
-            None => r.wrong(value.span(), format!("plugins.{name} is no table"), a_table),
         }
     }
     all.sort_by(|(a, p), (b, q)| (a, &p.name).cmp(&(b, &q.name)));
--- a/crates/frosthatch/src/policy.rs
+++ b/crates/frosthatch/src/policy.rs
@@ -2,7 +2,7 @@
 //! here but what a document has to name at this gateway.
 
 use crate::operator::Agreed;
-use frosthatch_accord::document::{hex, Document};
+use frosthatch_accord::document::{hex, sha256, Document};
 use frosthatch_accord::folder::Folder;
 use frosthatch_accord::node::{self, Node, Out, Standing};
 use frosthatch_accord::proposer::End;
@@ -11,7 +11,6 @@
 use frosthatch_engine::{Engine, Warrant};
 use frosthatch_members::driver::{Member, Reader};
 use frosthatch_plugins::host as plugins;
-use ring::digest::{digest, SHA256};
 use serde::{Deserialize, Serialize};
 use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, VecDeque};
@@ -37,7 +36,7 @@
 pub fn digests(plans: &[plugins::Plan]) -> BTreeMap<String, String> {
     let of = |plan: &plugins::Plan| {
         let bytes = std::fs::read(&plan.file).ok()?;
-        Some((plan.name.clone(), hex(digest(&SHA256, &bytes).as_ref())))
+        Some((plan.name.clone(), hex(&sha256(bytes))))
     };
     plans.iter().filter_map(of).collect()
 }
@@ -96,7 +95,11 @@
         }
     }
     let (share, most) = (d.retries.share, d.retries.most);
-    let terms = Terms { plans, classes, retries: turndeck::Retries { share, most } };
+    let retries = turndeck::Retries {
+        share: share.unwrap_or(set.retries.share),
+        most: most.unwrap_or(set.retries.most),
+    };
+    let terms = Terms { plans, classes, retries };
     if bad.is_empty() {
         let whole = Settings { plans: terms.plans.clone(), classes: terms.classes.clone(), ..set.clone() };
         bad = whole.mistakes();
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -5,4 +5,4 @@
 mod section;
 
 pub use mistake::Mistake;
-pub use section::{Reader, Section};
+pub use section::{real, whole, Reader, Section};
--- a/crates/settings/src/section.rs
+++ b/crates/settings/src/section.rs
@@ -4,7 +4,7 @@
 use std::fmt::Display;
 use std::ops::RangeInclusive;
 use std::time::Duration;
-use toml::de::{DeTable, DeValue};
+use toml::de::{DeString, DeTable, DeValue};
 use toml::Spanned;
 
 /// The file that is read, and what is wrong in it so far.
@@ -86,7 +86,14 @@
         read
     }
 
-    /// The same for a key that must be there.
+    /// Tells of a key that is not there.
+    pub fn needs(&self, r: &mut Reader, key: &str, right: &str) {
+        if !self.has(key) {
+            r.wrong(self.span.clone(), format!("{} is missing", self.name(key)), right);
+        }
+    }
+
+    /// [`read`](Section::read) for a key that must be there.
     pub fn must<T>(
         &mut self,
         r: &mut Reader,
@@ -94,9 +101,7 @@
         right: &str,
         read: impl Fn(&'a DeValue<'a>) -> Option<T>,
     ) -> Option<T> {
-        if self.table.get(key).is_none() {
-            r.wrong(self.span.clone(), format!("{} is missing", self.name(key)), right);
-        }
+        self.needs(r, key, right);
         self.read(r, key, right, read)
     }
 
@@ -114,12 +119,7 @@
         otherwise: i64,
     ) -> i64 {
         let right = format!("write a whole number from {} to {}", range.start(), range.end());
-        let fits = |n: &i64| range.contains(n);
-        let read = self.read(r, key, right, |v| {
-            let digits = v.as_integer()?;
-            i64::from_str_radix(digits.as_str(), digits.radix()).ok().filter(fits)
-        });
-        read.unwrap_or(otherwise)
+        self.read(r, key, right, |v| whole(v).filter(|n| range.contains(n))).unwrap_or(otherwise)
     }
 
     pub fn millis(
@@ -134,15 +134,8 @@
     }
 
     pub fn share(&mut self, r: &mut Reader, key: &'static str, otherwise: f64) -> f64 {
-        let read = self.read(r, key, "write a share from 0 to 1", |v| {
-            let number = match v {
-                DeValue::Float(f) => f.as_str().parse().ok()?,
-                DeValue::Integer(i) => i.as_str().parse().ok()?,
-                _ => return None,
-            };
-            (0.0..=1.0).contains(&number).then_some(number)
-        });
-        read.unwrap_or(otherwise)
+        let right = "write a share from 0 to 1";
+        self.read(r, key, right, |v| real(v).filter(|n| (0.0..=1.0).contains(n))).unwrap_or(otherwise)
     }
 
     pub fn yes_no(&mut self, r: &mut Reader, key: &'static str, otherwise: bool) -> bool {
@@ -176,8 +169,8 @@
         count: RangeInclusive<usize>,
         right: &str,
     ) -> Vec<&'a str> {
-        if self.table.get(key).is_none() && *count.start() > 0 {
-            r.wrong(self.span.clone(), format!("{} is missing", self.name(key)), right);
+        if *count.start() > 0 {
+            self.needs(r, key, right);
         }
         let right = format!("{right}, {} to {} of them", count.start(), count.end());
         let read = self.read(r, key, right, |v| {
@@ -205,6 +198,25 @@
         values
     }
 
+    /// Tables by name under a key; what is there and is no table is told.
+    pub fn tables(
+        &mut self,
+        r: &mut Reader,
+        key: &'static str,
+        right: &str,
+    ) -> Vec<(&'a Spanned<DeString<'a>>, Section<'a>)> {
+        let table = self.read(r, key, right, |v| v.as_table());
+        let mut all = Vec::new();
+        for (name, value) in table.into_iter().flat_map(|t| t.iter()) {
+            let path = format!("{}.{}", self.name(key), name.get_ref());
+            match value.get_ref().as_table() {
+                Some(table) => all.push((name, Section::new(&path, table, value.span()))),
+                None => r.wrong(value.span(), format!("{path} is no table"), right),
+            }
+        }
+        all
+    }
+
     /// Tells of keys that nobody asked for.
     pub fn finish(self, r: &mut Reader) {
         for key in self.table.keys().filter(|k| !self.known.contains(&k.get_ref().as_ref())) {
@@ -213,3 +225,18 @@
         }
     }
 }
+
+/// A whole number, however it is written.
+pub fn whole(v: &DeValue) -> Option<i64> {
+    let digits = v.as_integer()?;
+    i64::from_str_radix(digits.as_str(), digits.radix()).ok()
+}
+
+/// A number with or without a fraction.
+pub fn real(v: &DeValue) -> Option<f64> {
+    match v {
+        DeValue::Float(f) => f.as_str().parse().ok(),
+        DeValue::Integer(i) => i.as_str().parse().ok(),
+        _ => None,
+    }
+}
