--- a/crates/accord/src/node.rs
+++ b/crates/accord/src/node.rs
@@ -10,6 +10,7 @@
 use crate::tenant::Tenant;
 use crate::texts::Texts;
 use crate::{majority, Ballot, Id, Policy, Times};
+use frosthatch_settings::joined;
 use rand_pcg::rand_core::{RngCore, SeedableRng};
 use rand_pcg::Pcg64Mcg;
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
@@ -82,6 +83,8 @@
 pub type Judge = Box<dyn Fn(&Document) -> Result<(), String>>;
 
 struct Own {
+    /// Among the keepers.
+    place: u64,
     keeper: Keeper,
     /// The state of its folder that is on disk.
     state: u64,
@@ -89,11 +92,19 @@
     writing: Option<(Record, Option<(String, Letter)>)>,
     /// It takes the place of one that is gone.
     joining: Option<Joining>,
-    failed_at: Option<u64>,
+    /// A write failed: it is tried again from then on; while it is, never.
+    again_at: Option<u64>,
     /// It keeps no more, and why.
     silent: Option<String>,
 }
 
+impl Own {
+    /// It answers as a keeper.
+    fn keeps(&self) -> bool {
+        self.silent.is_none() && self.joining.is_none()
+    }
+}
+
 /// What a keeper that joins has heard of the others under its ballot.
 struct Joining {
     ballot: Ballot,
@@ -199,7 +210,7 @@
             Joining { ballot, promises: BTreeMap::new(), due: now }
         });
         let keeper = Keeper::new(self.plan.times, place, durable, now);
-        self.own = Some(Own { keeper, state, writing: None, joining, failed_at: None, silent });
+        self.own = Some(Own { place, keeper, state, writing: None, joining, again_at: None, silent });
     }
 
     /// Under what requests may be let in at this time.
@@ -262,7 +273,7 @@
         let judged = match Document::read("policy", text) {
             Ok(document) if document.version == id.version => (self.judge)(&document),
             Ok(document) => Err(format!("its document says that it is version {}", document.version)),
-            Err(mistakes) => Err(mistakes.iter().map(ToString::to_string).collect::<Vec<_>>().join("; ")),
+            Err(mistakes) => Err(joined(&mistakes)),
         };
         while self.judged.len() >= MOST_HELD {
             self.judged.pop_first();
@@ -293,7 +304,7 @@
 
     /// As a keeper: the state that is on disk, or why it keeps nothing. None: it is none.
     pub fn keeps(&self) -> Option<Result<u64, String>> {
-        self.own.as_ref().map(|own| match (&own.silent, own.failed_at) {
+        self.own.as_ref().map(|own| match (&own.silent, own.again_at) {
             (Some(why), _) => Err(why.clone()),
             (None, Some(_)) => Err("what it promised cannot be put on disk; it is tried again".into()),
             (None, None) if own.joining.is_some() => {
@@ -345,10 +356,7 @@
 
     /// Calls a proposal off. False: it is not known, over, or keepers may have it already.
     pub fn abort(&mut self, now: u64, number: u64, out: &mut Vec<Out>) -> bool {
-        let mut steps = Vec::new();
-        let may = self.proposals.get_mut(&number).is_some_and(|p| p.proposer.abort(&mut steps));
-        self.steps(now, number, steps, out);
-        may
+        self.step(now, number, out, |p, steps| p.proposer.abort(steps))
     }
 
     fn begin(&mut self, now: u64, policy: Option<Policy>, there: &[String]) -> Result<u64, String> {
@@ -385,15 +393,12 @@
             self.ask(number, &Ask::Lease, out);
         }
         for number in self.proposals.keys().copied().collect::<Vec<_>>() {
-            let Some(p) = self.proposals.get_mut(&number).filter(|p| p.proposer.end().is_none()) else {
-                continue;
-            };
-            for (n, _) in (1..).zip(&p.members).filter(|(_, name)| !there.contains(name)) {
-                p.proposer.gone(n);
-            }
-            let mut steps = Vec::new();
-            p.proposer.tick(now, &mut steps);
-            self.steps(now, number, steps, out);
+            self.step(now, number, out, |p, steps| {
+                for (n, _) in (1..).zip(&p.members).filter(|(_, name)| !there.contains(name)) {
+                    p.proposer.gone(n);
+                }
+                p.proposer.tick(now, steps);
+            });
         }
         self.bring_together(now, out);
         self.fetch(now, out);
@@ -447,12 +452,9 @@
                 match answer {
                     Answer::Lease(grant) => self.granted(now, from, keeper, number, grant),
                     answer if number == JOIN => self.joins(now, from, keeper, answer, out),
-                    answer => {
-                        let Some(p) = self.proposals.get_mut(&number) else { return };
-                        let mut steps = Vec::new();
-                        p.proposer.answered(now, keeper, life, answer, &mut steps);
-                        self.steps(now, number, steps, out);
-                    }
+                    answer => self.step(now, number, out, |p, steps| {
+                        p.proposer.answered(now, keeper, life, answer, steps);
+                    }),
                 }
             }
             Letter::Check { number, policy } => match self.judged(&policy.id()) {
@@ -465,14 +467,11 @@
                     }
                 }
             },
-            Letter::Checked { number, why } => {
-                let Some(p) = self.proposals.get_mut(&number) else { return };
+            Letter::Checked { number, why } => self.step(now, number, out, |p, steps| {
                 let Some(n) = p.members.iter().position(|m| m == from) else { return };
                 let says = if why.is_empty() { Ok(()) } else { Err(why) };
-                let mut steps = Vec::new();
-                p.proposer.checked(n as u64 + 1, says, &mut steps);
-                self.steps(now, number, steps, out);
-            }
+                p.proposer.checked(n as u64 + 1, says, steps);
+            }),
             Letter::Want { digest, at } => {
                 for at in at.into_iter().take(8) {
                     if let Some((of, bytes)) = self.texts.part(&digest, at) {
@@ -530,9 +529,8 @@
         if !self.texts.has(&digest) {
             return self.want(now, digest, from);
         }
-        let (ballot, place) = (joining.ballot, self.plan.keepers.iter().position(|k| *k == self.plan.me));
-        let lives =
-            self.lives.iter().filter(|(p, _)| Some(**p) != place.map(|p| p as u64)).map(|(p, l)| (*p, *l));
+        let ballot = joining.ballot;
+        let lives = self.lives.iter().filter(|(place, _)| **place != own.place).map(|(p, l)| (*p, *l));
         let life = ballot.number;
         let durable = Durable { promised: ballot, accepted, life, lives: lives.collect(), joining: false };
         let text = self.texts.get(&digest).unwrap_or_default().to_string();
@@ -544,17 +542,14 @@
     /// As a keeper that joins: asks the others again.
     fn join(&mut self, now: u64, out: &mut Vec<Out>) {
         let highest = self.tenant.highest_ballot();
-        let Some(joining) = self.own.as_mut().and_then(|own| own.joining.as_mut()) else { return };
-        if now < joining.due {
-            return;
-        }
+        let Some(own) = &mut self.own else { return };
+        let Some(joining) = own.joining.as_mut().filter(|j| now >= j.due) else { return };
         joining.due = now + self.plan.again_us;
         if joining.ballot.number <= highest {
             joining.ballot.number = highest + 1;
             joining.promises.clear();
         }
-        let ballot = joining.ballot;
-        let place = self.plan.keepers.iter().position(|k| *k == self.plan.me).unwrap_or(usize::MAX) as u64;
+        let (ballot, place) = (joining.ballot, own.place);
         self.ask(JOIN, &Ask::Join(ballot, place), out);
     }
 
@@ -565,8 +560,7 @@
                 return self.want(now, policy.digest, from);
             }
         }
-        let may = |own: &&mut Own| own.silent.is_none() && own.joining.is_none();
-        let Some(own) = self.own.as_mut().filter(may) else { return };
+        let Some(own) = self.own.as_mut().filter(|own| own.keeps()) else { return };
         let life = own.keeper.state().life;
         if seen > (life, own.state) {
             let told = seen.1;
@@ -608,7 +602,7 @@
                     out.push(Out::Log(format!("policy: joined state={}", record.state)));
                     return self.keep_from(now, Ok(record));
                 }
-                if own.failed_at.take().is_some() {
+                if own.again_at.take().is_some() {
                     out.push(Out::Log(format!("policy: keeper-writes state={}", record.state)));
                 }
                 if let Some((to, letter)) = answer {
@@ -618,7 +612,7 @@
             }
             // It may be on disk or not: until it is, nothing is said.
             Err(why) => {
-                if own.failed_at.replace(now).is_none() {
+                if own.again_at.replace(now + STORE_US).is_none() {
                     out.push(Out::Log(format!("policy: keeper-cannot-write why={why:?}")));
                 }
             }
@@ -627,11 +621,9 @@
 
     fn keep(&mut self, now: u64, out: &mut Vec<Out>) {
         let Some(own) = &mut self.own else { return };
-        if let (Some(at), Some((record, _))) = (own.failed_at, &own.writing) {
-            if now >= at + STORE_US {
-                own.failed_at = Some(u64::MAX - STORE_US);
-                out.push(Out::Store(record.clone()));
-            }
+        if own.again_at.is_some_and(|at| now >= at) {
+            own.again_at = Some(u64::MAX);
+            out.extend(own.writing.as_ref().map(|(record, _)| Out::Store(record.clone())));
         }
     }
 
@@ -650,8 +642,7 @@
 
     /// As a keeper: it accepts late what it was not there to accept.
     fn catch_up(&mut self) {
-        let may = |own: &&Own| own.silent.is_none() && own.joining.is_none();
-        let Some(own) = self.own.as_ref().filter(may) else { return };
+        let Some(own) = self.own.as_ref().filter(|own| own.keeps()) else { return };
         let mine = own.keeper.state().accepted.map_or(0, |(_, p)| p.version);
         if let Some((ballot, policy)) = self.tenant.chosen().filter(|(_, p)| p.version > mine) {
             let (number, seen, ask) = (0, (0, 0), Ask::Accept(ballot, policy, Vec::new()));
@@ -686,7 +677,7 @@
 
     /// As a keeper: what somebody left half done is finished.
     fn bring_together(&mut self, now: u64, out: &mut Vec<Out>) {
-        let keeps = self.own.as_ref().is_some_and(|own| own.silent.is_none() && own.joining.is_none());
+        let keeps = self.own.as_ref().is_some_and(Own::keeps);
         let busy = self.proposals.values().any(|p| p.proposer.end().is_none());
         if !keeps || busy || !self.tenant.apart(now) {
             self.apart_since = None;
@@ -702,7 +693,16 @@
         }
     }
 
-    fn steps(&mut self, now: u64, number: u64, steps: Vec<Step>, out: &mut Vec<Out>) {
+    /// Has a proposer do something, and does what follows.
+    fn step<T: Default>(
+        &mut self,
+        now: u64,
+        number: u64,
+        out: &mut Vec<Out>,
+        what: impl FnOnce(&mut Proposal, &mut Vec<Step>) -> T,
+    ) -> T {
+        let mut steps = Vec::new();
+        let done = self.proposals.get_mut(&number).map(|p| what(p, &mut steps)).unwrap_or_default();
         for step in steps {
             match step {
                 Step::Check(policy) => {
@@ -747,5 +747,6 @@
                 }
             }
         }
+        done
     }
 }
--- a/crates/frosthatch/src/inquiry.rs
+++ b/crates/frosthatch/src/inquiry.rs
@@ -1,9 +1,10 @@
 //! `frosthatch fleet` and `frosthatch policy`: what a running gateway's console says, as a table or as JSON.
 
 use crate::fleet::Shown;
-use crate::{joined, node, operator, policy};
+use crate::{node, operator, policy};
 use frosthatch_accord::document::{self, Document};
 use frosthatch_accord::folder::Folder;
+use frosthatch_settings::joined;
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpStream};
 use std::path::Path;
--- a/crates/frosthatch/src/main.rs
+++ b/crates/frosthatch/src/main.rs
@@ -14,7 +14,7 @@
 mod tls;
 
 use clap::{Parser, Subcommand};
-use frosthatch_settings::Mistake;
+use frosthatch_settings::{joined, Mistake};
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 
@@ -214,8 +214,3 @@
         }
     }
 }
-
-/// All of them, as one text.
-fn joined(mistakes: &[Mistake]) -> String {
-    mistakes.iter().map(Mistake::to_string).collect::<Vec<_>>().join("; ")
-}
--- a/crates/frosthatch/src/serve.rs
+++ b/crates/frosthatch/src/serve.rs
@@ -3,7 +3,7 @@
 use crate::console::Console;
 use crate::node::Config;
 use crate::operator::{self, Operator};
-use crate::{diameter, fleet, handover, joined, policy};
+use crate::{diameter, fleet, handover, policy};
 use frosthatch_console as console;
 use frosthatch_counter as counter;
 use frosthatch_engine::{Clock, Engine, Fleet, Ledger, Rules, Tally};
@@ -14,6 +14,7 @@
 use frosthatch_members::Phase;
 use frosthatch_membership::{self as membership, Source};
 use frosthatch_plugins::host::{self as plugins, Plugins};
+use frosthatch_settings::joined;
 use std::cell::Cell;
 use std::path::Path;
 use std::rc::Rc;
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -4,5 +4,5 @@
 mod mistake;
 mod section;
 
-pub use mistake::Mistake;
+pub use mistake::{joined, Mistake};
 pub use section::{real, whole, Reader, Section};
--- a/crates/settings/src/mistake.rs
+++ b/crates/settings/src/mistake.rs
@@ -17,3 +17,8 @@
         write!(f, "{}: {}: {}; {}", self.file, self.place, self.what, self.right)
     }
 }
+
+/// All of them, as one text.
+pub fn joined(mistakes: &[Mistake]) -> String {
+    mistakes.iter().map(Mistake::to_string).collect::<Vec<_>>().join("; ")
+}
