--- a/crates/console/src/lib.rs
+++ b/crates/console/src/lib.rs
@@ -3,9 +3,11 @@
 #![forbid(unsafe_code)]
 
 mod call;
+mod client;
 mod driver;
 mod figures;
 
 pub use call::{Call, Wrong};
+pub use client::ask;
 pub use driver::{listen, Desk, PLACES};
 pub use figures::{Class, Figures};
--- a/crates/frosthatch/src/inquiry.rs
+++ b/crates/frosthatch/src/inquiry.rs
@@ -1,12 +1,11 @@
 //! `frosthatch fleet` and `frosthatch policy`: what a running gateway's console says, as a table or as JSON.
 
-use crate::fleet::Shown;
-use crate::{node, operator, policy};
+use crate::{fleet, node, operator, policy};
 use frosthatch_accord::document::{self, Document};
 use frosthatch_accord::folder::Folder;
 use frosthatch_settings::joined;
-use std::io::{Read, Write};
-use std::net::{SocketAddr, TcpStream};
+use serde::de::DeserializeOwned;
+use std::net::SocketAddr;
 use std::path::Path;
 use std::process::ExitCode;
 use std::thread::sleep;
@@ -14,8 +13,6 @@
 
 /// A console answers within this, or it is not well.
 const PATIENCE: Duration = Duration::from_secs(5);
-const MOST_BYTES: u64 = 16 << 20;
-
 /// The body of a console's answer, if all is well.
 fn call(console: SocketAddr, method: &str, path: &str) -> Result<String, String> {
     match send(console, method, path, "")? {
@@ -26,19 +23,22 @@
 
 /// Status and body of a console's answer.
 fn send(console: SocketAddr, method: &str, path: &str, body: &str) -> Result<(u16, String), String> {
-    let wrong = |e: std::io::Error| format!("console {console}: {e}");
-    let mut stream = TcpStream::connect_timeout(&console, PATIENCE).map_err(wrong)?;
-    stream.set_read_timeout(Some(PATIENCE)).map_err(wrong)?;
-    let request = format!(
-        "{method} {path} HTTP/1.1\r\nHost: console\r\nConnection: close\r\nContent-Length: {}\r\n\r\n{body}",
-        body.len()
-    );
-    stream.write_all(request.as_bytes()).map_err(wrong)?;
-    let mut text = String::new();
-    stream.take(MOST_BYTES).read_to_string(&mut text).map_err(wrong)?;
-    let (head, body) = text.split_once("\r\n\r\n").ok_or(format!("console {console}: no answer"))?;
-    let status = head.split(' ').nth(1).and_then(|s| s.parse().ok());
-    Ok((status.ok_or(format!("console {console}: no answer"))?, body.to_string()))
+    frosthatch_console::ask(console, PATIENCE, method, path, body)
+}
+
+/// What a console shows, and the same as it came.
+fn shown<T: DeserializeOwned>(console: SocketAddr, path: &str) -> Result<(T, String), String> {
+    let json = call(console, "GET", path)?;
+    let shown = serde_json::from_str(&json).map_err(|e| format!("console {console}: {e}"))?;
+    Ok((shown, json))
+}
+
+fn fleet(console: SocketAddr) -> Result<(fleet::Shown, String), String> {
+    shown(console, "/fleet")
+}
+
+fn agreed(console: SocketAddr) -> Result<(policy::Shown, String), String> {
+    shown(console, "/policy")
 }
 
 /// Rows as columns.
@@ -51,14 +51,8 @@
     }
 }
 
-fn shown(console: SocketAddr) -> Result<(Shown, String), String> {
-    let json = call(console, "GET", "/fleet")?;
-    let shown = serde_json::from_str(&json).map_err(|e| format!("console {console}: {e}"))?;
-    Ok((shown, json))
-}
-
 pub fn members(console: SocketAddr, as_json: bool) -> Result<(), String> {
-    let (fleet, json) = shown(console)?;
+    let (fleet, json) = self::fleet(console)?;
     if as_json {
         println!("{json}");
         return Ok(());
@@ -66,7 +60,7 @@
     let ago = |ms: Option<u64>| ms.map_or("-".to_string(), |ms| format!("{:.1} s", ms as f64 / 1e3));
     let title =
         ["NAME", "NUMBER", "STATE", "REGION", "ZONE", "HEARD", "ADDRESS", "PROGRAM"].map(String::from);
-    let row = |m: &crate::fleet::ShownMember| {
+    let row = |m: &fleet::ShownMember| {
         let heard = if m.name == fleet.me { "this one".into() } else { ago(m.heard_ms) };
         let (number, state) = (m.number.to_string(), m.state.clone());
         [
@@ -89,7 +83,7 @@
 }
 
 pub fn view(console: SocketAddr, as_json: bool) -> Result<(), String> {
-    let (fleet, _) = shown(console)?;
+    let (fleet, _) = self::fleet(console)?;
     if as_json {
         println!("{}", serde_json::to_string(&fleet.view).map_err(|e| e.to_string())?);
         return Ok(());
@@ -103,12 +97,6 @@
     call(console, "POST", "/fleet/leave").map(|said| print!("{said}"))
 }
 
-fn agreed(console: SocketAddr) -> Result<(policy::Shown, String), String> {
-    let json = call(console, "GET", "/policy")?;
-    let shown = serde_json::from_str(&json).map_err(|e| format!("console {console}: {e}"))?;
-    Ok((shown, json))
-}
-
 pub fn document(console: SocketAddr) -> Result<(), String> {
     call(console, "GET", "/policy/document").map(|text| print!("{text}"))
 }
--- a/crates/lab/src/rig/stage.rs
+++ b/crates/lab/src/rig/stage.rs
@@ -7,8 +7,7 @@
 use frosthatch_standins::{Client, Gateway};
 use serde_json::{json, Value};
 use std::collections::BTreeMap;
-use std::io::{Read, Write};
-use std::net::{SocketAddr, TcpStream};
+use std::net::SocketAddr;
 use std::path::Path;
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
@@ -54,18 +53,9 @@
 
 const PATIENCE: Duration = Duration::from_secs(2);
 
-/// Status and body of a console's answer.
+/// Status and body of a console's answer; none: it says nothing.
 pub fn call(console: SocketAddr, method: &str, path: &str, body: &str) -> Option<(u16, String)> {
-    let mut stream = TcpStream::connect_timeout(&console, PATIENCE).ok()?;
-    stream.set_read_timeout(Some(PATIENCE)).ok()?;
-    let length = body.len();
-    let head =
-        format!("{method} {path} HTTP/1.1\r\nHost: c\r\nConnection: close\r\nContent-Length: {length}");
-    stream.write_all(format!("{head}\r\n\r\n{body}").as_bytes()).ok()?;
-    let mut text = String::new();
-    stream.read_to_string(&mut text).ok()?;
-    let (head, body) = text.split_once("\r\n\r\n")?;
-    Some((head.split(' ').nth(1)?.parse().ok()?, body.into()))
+    frosthatch_console::ask(console, PATIENCE, method, path, body).ok()
 }
 
 /// The operator's file of one process: the others reach it through the relay. `more`: lines of the table.
