Tests of accord share chance, clocks and samples; members make a peer in one place

Read again: two drawn schedules had the same generator and clocks, two unit tests the same samples, three tests the same wait, and an unknown member's entry was made twice. The schedules are the same ones, the assertions as before.

--- a/crates/accord/src/keeper.rs
+++ b/crates/accord/src/keeper.rs
@@ -141,17 +141,10 @@
 #[cfg(test)]
 mod tests {
     use super::*;
+    use crate::tests::{ballot, policy};
 
     const TIMES: Times = Times { lease_us: 1_000, drift: 10 };
 
-    fn policy(version: u64) -> Policy {
-        Policy { version, digest: [version as u8; 32], parent: [0; 32] }
-    }
-
-    fn ballot(number: u64) -> Ballot {
-        Ballot { number, proposer: 1 }
-    }
-
     fn grant(k: &mut Keeper, now: u64) -> Grant {
         match k.ask(now, Ask::Lease) {
             (Answer::Lease(g), false) => g,
--- a/crates/accord/src/lib.rs
+++ b/crates/accord/src/lib.rs
@@ -80,9 +80,17 @@
 }
 
 #[cfg(test)]
-mod tests {
+pub(crate) mod tests {
     use super::*;
 
+    pub fn policy(version: u64) -> Policy {
+        Policy { version, digest: [version as u8; 32], parent: [0; 32] }
+    }
+
+    pub fn ballot(number: u64) -> Ballot {
+        Ballot { number, proposer: 1 }
+    }
+
     /// The tenant's clock slow and the keeper's fast, and the other way round, as far as they may be.
     #[test]
     fn clocks_that_drift_make_no_lease_longer_and_no_wait_shorter() {
--- a/crates/accord/src/tenant.rs
+++ b/crates/accord/src/tenant.rs
@@ -145,17 +145,10 @@
 #[cfg(test)]
 mod tests {
     use super::*;
+    use crate::tests::{ballot, policy};
 
     const TIMES: Times = Times { lease_us: 1_000_000, drift: 10 };
 
-    fn policy(version: u64) -> Policy {
-        Policy { version, digest: [version as u8; 32], parent: [0; 32] }
-    }
-
-    fn ballot(number: u64) -> Ballot {
-        Ballot { number, proposer: 1 }
-    }
-
     fn by(number: u64, version: u64) -> Grant {
         Grant { before: None, now: Some((policy(version), ballot(number), 0, 1_000_000)) }
     }
--- a/crates/accord/tests/nodes.rs
+++ b/crates/accord/tests/nodes.rs
@@ -2,6 +2,8 @@
 //! letters late, lost, twice and out of order, parts that do not hear each other, members that stop and start, clocks that drift. By
 //! drawn schedules; what is checked is what `docs/policy-changes.md` promises, by its numbers.
 
+mod common;
+use common::{Clock, Draw};
 use frosthatch_accord::document::{hex, sha256, Document};
 use frosthatch_accord::node::{Node, OnLost, Out, Plan, Standing};
 use frosthatch_accord::proposer::End;
@@ -21,8 +23,7 @@
     disk: Option<Record>,
     /// Being written: when it is done.
     writing: Option<(u64, Record)>,
-    from: u64,
-    rate: u64,
+    clock: Clock,
     stopped: bool,
     life: u64,
     /// Of before its folder was lost.
@@ -33,7 +34,7 @@
 
 struct World {
     now: u64,
-    state: u64,
+    draw: Draw,
     members: Vec<Member>,
     letters: Vec<(u64, usize, usize, Vec<u8>)>,
     parts: [usize; ALL],
@@ -76,7 +77,7 @@
     fn new(seed: u64, on_lost: OnLost) -> World {
         let mut w = World {
             now: 5_000_000,
-            state: seed.wrapping_mul(0x9E37_79B9_7F4A_7C15) | 1,
+            draw: Draw::new(seed),
             members: Vec::new(),
             letters: Vec::new(),
             parts: [0; ALL],
@@ -96,15 +97,14 @@
             back: 0,
         };
         for n in 0..ALL {
-            let (from, rate) = (w.below(1_000_000_000), 990 + w.below(21));
+            let clock = w.draw.clock();
             let disk = (n < KEEPERS).then(|| Record::first(&name(n)));
             let waiting = Vec::new();
             w.members.push(Member {
                 node: None,
                 disk,
                 writing: None,
-                from,
-                rate,
+                clock,
                 stopped: false,
                 life: 0,
                 copy: None,
@@ -115,17 +115,12 @@
         w
     }
 
-    fn below(&mut self, n: u64) -> u64 {
-        self.state = self.state.wrapping_mul(0x5851_F42D_4C95_7F2D).wrapping_add(0x1405_7B7E_F767_814F);
-        (self.state >> 33) % n.max(1)
-    }
-
     fn at(&self, n: usize) -> u64 {
-        self.members[n].from + self.now * self.members[n].rate / 1_000
+        self.members[n].clock.at(self.now)
     }
 
     fn start(&mut self, n: usize) {
-        let (at, seed) = (self.at(n), self.state);
+        let (at, seed) = (self.at(n), self.draw.seed());
         let plan = Plan {
             me: name(n),
             keepers: (0..KEEPERS).map(name).collect(),
@@ -147,7 +142,7 @@
 
     /// SIGKILL: what was being written is on disk or is not.
     fn kill(&mut self, n: usize) {
-        let done = self.below(2) == 0;
+        let done = self.draw.below(2) == 0;
         let m = &mut self.members[n];
         if let Some((_, record)) = m.writing.take().filter(|_| done) {
             m.disk = Some(record);
@@ -160,7 +155,7 @@
             match o {
                 Out::Send { to, bytes } => {
                     let to: usize = to[1..].parse().expect("a number");
-                    let draws = [self.below(100), self.below(100)];
+                    let draws = [self.draw.below(100), self.draw.below(100)];
                     let copies = match draws[0] {
                         d if d < self.loss => 0,
                         d if self.trouble && d > 95 => 2,
@@ -168,15 +163,15 @@
                     };
                     for _ in 0..copies {
                         let late = if self.trouble && draws[1] < 5 {
-                            self.below(2_000_000)
+                            self.draw.below(2_000_000)
                         } else {
-                            self.below(15_000)
+                            self.draw.below(15_000)
                         };
                         self.letters.push((self.now + late, n, to, bytes.clone()));
                     }
                 }
                 Out::Store(record) => {
-                    let takes = self.below(30_000);
+                    let takes = self.draw.below(30_000);
                     self.members[n].writing = Some((self.now + takes, record));
                 }
                 Out::Log(line) => {
@@ -294,8 +289,8 @@
     }
 
     fn propose(&mut self, n: usize) {
-        let worth = ["1.0", "2.0", "3.0", NOT_THE_LAST, NOBODY][self.below(5) as usize];
-        let (at, there, rate) = (self.at(n), self.there(n), self.below(1 << 29));
+        let worth = ["1.0", "2.0", "3.0", NOT_THE_LAST, NOBODY][self.draw.below(5) as usize];
+        let (at, there, rate) = (self.at(n), self.there(n), self.draw.below(1 << 29));
         let Some(node) = &mut self.members[n].node else { return };
         // What it held last; now and then that is not the last.
         let on = node.history().last().map(|(id, _)| *id).unwrap_or_default();
@@ -315,18 +310,18 @@
     }
 
     fn troubles(&mut self) {
-        let n = self.below(ALL as u64) as usize;
-        match self.below(130) {
+        let n = self.draw.below(ALL as u64) as usize;
+        match self.draw.below(130) {
             0 => self.kill(n),
-            1 if self.below(4) == 0 => (0..ALL).for_each(|n| self.kill(n)),
+            1 if self.draw.below(4) == 0 => (0..ALL).for_each(|n| self.kill(n)),
             2..8 if self.members[n].node.is_none() => self.start(n),
             8 => self.members[n].stopped = self.members[n].node.is_some(),
             9..14 => self.goes_on(n),
-            14 => self.parts = std::array::from_fn(|_| self.below(2) as usize),
+            14 => self.parts = std::array::from_fn(|_| self.draw.below(2) as usize),
             15 | 16 => self.parts = [0; ALL],
-            17 => self.loss = [0, 10, 30][self.below(3) as usize],
-            21 if self.below(self.lasts) == 0 => self.loses(),
-            22 if self.below(self.lasts) == 0 => self.puts_back(),
+            17 => self.loss = [0, 10, 30][self.draw.below(3) as usize],
+            21 if self.draw.below(self.lasts) == 0 => self.loses(),
+            22 if self.draw.below(self.lasts) == 0 => self.puts_back(),
             23..30 if self.lasts == 1 && !self.members[n].stopped => self.propose(n),
             18..21 if !self.members[n].stopped => self.propose(n),
             _ => {}
--- a/crates/accord/tests/promise.rs
+++ b/crates/accord/tests/promise.rs
@@ -2,6 +2,8 @@
 //! that stop and start from disk, gateways that are stopped or start anew, clocks that drift apart by 1%. What is checked after each
 //! step is what `docs/policy-changes.md` promises, by its numbers.
 
+mod common;
+use common::{Clock, Draw};
 use frosthatch_accord::keeper::{Answer, Ask, Durable, Grant, Keeper};
 use frosthatch_accord::proposer::{End, Out, Proposer};
 use frosthatch_accord::tenant::Tenant;
@@ -13,19 +15,6 @@
 const TENANTS: usize = 3;
 const STEP: u64 = 20_000;
 
-/// A clock of its own: where it began, and how fast it runs, in thousandths.
-#[derive(Clone, Copy)]
-struct Clock {
-    from: u64,
-    rate: u64,
-}
-
-impl Clock {
-    fn at(self, now: u64) -> u64 {
-        self.from + now * self.rate / 1_000
-    }
-}
-
 enum Letter {
     ToKeeper { proposer: usize, keeper: usize, ask: Ask },
     ToProposer { proposer: usize, keeper: usize, answer: Answer },
@@ -35,7 +24,7 @@
 
 struct World {
     now: u64,
-    state: u64,
+    draw: Draw,
     keepers: Vec<Option<Keeper>>,
     disks: Vec<Durable>,
     tenants: Vec<Tenant>,
@@ -60,7 +49,7 @@
     fn new(seed: u64, trouble: bool) -> World {
         let mut w = World {
             now: 1_000_000,
-            state: seed.wrapping_mul(0x9E37_79B9_7F4A_7C15) | 1,
+            draw: Draw::new(seed),
             keepers: Vec::new(),
             disks: vec![Durable::default(); KEEPERS],
             tenants: (0..TENANTS).map(|_| Tenant::new(TIMES, KEEPERS)).collect(),
@@ -78,8 +67,8 @@
             trouble,
         };
         for _ in 0..KEEPERS + TENANTS {
-            let (from, rate) = (w.below(1_000_000_000), 990 + w.below(21));
-            w.clocks.push(Clock { from, rate });
+            let clock = w.draw.clock();
+            w.clocks.push(clock);
         }
         for k in 0..KEEPERS {
             let keeper = Keeper::new(TIMES, k as u64, Durable::default(), w.clocks[k].at(w.now));
@@ -88,21 +77,20 @@
         w
     }
 
-    fn below(&mut self, n: u64) -> u64 {
-        self.state = self.state.wrapping_mul(0x5851_F42D_4C95_7F2D).wrapping_add(0x1405_7B7E_F767_814F);
-        (self.state >> 33) % n.max(1)
-    }
-
     /// Mostly soon, now and then very late, lost, or twice.
     fn post(&mut self, make: impl Fn() -> Letter) {
-        let draws = [self.below(100), self.below(100)];
+        let draws = [self.draw.below(100), self.draw.below(100)];
         let copies = match draws[0] {
             0..10 if self.trouble => 0,
             10..15 if self.trouble => 2,
             _ => 1,
         };
         for _ in 0..copies {
-            let late = if self.trouble && draws[1] < 5 { self.below(3_000_000) } else { self.below(30_000) };
+            let late = if self.trouble && draws[1] < 5 {
+                self.draw.below(3_000_000)
+            } else {
+                self.draw.below(30_000)
+            };
             let at = self.now + late;
             self.letters.push((at, make()));
         }
@@ -166,7 +154,7 @@
                 if durable {
                     self.disks[keeper] = k.state().clone();
                     // It may die before the answer goes out.
-                    if self.trouble && self.below(60) == 0 {
+                    if self.trouble && self.draw.below(60) == 0 {
                         self.keepers[keeper] = None;
                         return;
                     }
@@ -246,28 +234,28 @@
     }
 
     fn troubles(&mut self) {
-        match self.below(60) {
+        match self.draw.below(60) {
             0 => {
-                let k = self.below(KEEPERS as u64) as usize;
+                let k = self.draw.below(KEEPERS as u64) as usize;
                 self.keepers[k] = None;
             }
             1 => (0..KEEPERS).for_each(|k| self.keepers[k] = None),
             2..10 => {
-                let k = self.below(KEEPERS as u64) as usize;
+                let k = self.draw.below(KEEPERS as u64) as usize;
                 if self.keepers[k].is_none() {
                     self.start(k);
                 }
             }
             10 => {
-                let t = self.below(TENANTS as u64) as usize;
+                let t = self.draw.below(TENANTS as u64) as usize;
                 self.stopped[t] = true;
             }
             11..16 => {
-                let t = self.below(TENANTS as u64) as usize;
+                let t = self.draw.below(TENANTS as u64) as usize;
                 self.stopped[t] = false;
             }
             16 => {
-                let t = self.below(TENANTS as u64) as usize;
+                let t = self.draw.below(TENANTS as u64) as usize;
                 (self.tenants[t], self.lives[t]) = (Tenant::new(TIMES, KEEPERS), self.lives[t] + 1);
             }
             17..20 => {
@@ -283,7 +271,7 @@
     /// What a proposer would take for the last policy: now and then not the last.
     fn known(&mut self) -> (u64, [u8; 32]) {
         let all: Vec<Policy> = self.disks.iter().filter_map(|d| d.accepted).map(|(_, p)| p).collect();
-        let one = self.below(all.len() as u64) as usize;
+        let one = self.draw.below(all.len() as u64) as usize;
         all.get(one).map_or((0, [0; 32]), |p| (p.version, p.digest))
     }
 
--- a/crates/frosthatch/tests/policy.rs
+++ b/crates/frosthatch/tests/policy.rs
@@ -70,6 +70,12 @@
         });
     }
 
+    /// All that run see so many that are ready, themselves included: the rest is held dead.
+    fn all_see(&self, ready: usize) {
+        let seen = |f: &Fleet| f.stage.views().iter().flatten().all(|v| v.ready == ready);
+        self.until("the others hold the rest dead", seen);
+    }
+
     /// Proposes by a process, and waits for the end.
     fn propose(&self, by: usize, document: &str) -> (String, String) {
         let number = match agreed::propose(self.console(by), document).expect("an answer") {
@@ -194,13 +200,13 @@
         std::thread::sleep(Duration::from_millis(40));
     }
     let second = document(2, &agreed::digest(&first), 50.0);
-    fleet.until("the rest holds it dead", |f| f.stage.views().iter().flatten().all(|v| v.ready == 3));
+    fleet.all_see(3);
     assert_eq!(fleet.propose(3, &second).0, "in force");
     fleet.all_hold(2);
     // Without a majority nothing is let in, nor changed.
     fleet.stage.act(&Act::Kill { who: vec![1] });
     fleet.until("refused at once", |f| f.asks(2) == 429 && f.asks(3) == 429);
-    fleet.until("it is held dead", |f| f.stage.views().iter().flatten().all(|v| v.ready == 2));
+    fleet.all_see(2);
     let third = document(3, &agreed::digest(&second), 40.0);
     let (state, why) = fleet.propose(3, &third);
     assert!(state == "refused" && why.contains("no majority"), "{state} {why}");
@@ -266,7 +272,7 @@
     fleet.until("it has joined", |f| keeps(f).contains("state 2"));
     fleet.all_hold(1);
     fleet.stage.act(&Act::Kill { who: vec![1] });
-    fleet.until("it is held dead", |f| f.stage.views().iter().flatten().all(|v| v.ready == 3));
+    fleet.all_see(3);
     let second = document(2, &agreed::digest(&first), 50.0);
     assert_eq!(fleet.propose(3, &second).0, "in force");
     fleet.all_hold(2);
--- a/crates/members/src/fleet.rs
+++ b/crates/members/src/fleet.rs
@@ -332,14 +332,13 @@
         if !self.peers.contains_key(&h.from) && self.peers.len() >= self.plan.most_members * 2 {
             return;
         }
-        let usual = 1e6 / self.plan.interval_us(self.table.len()) as f64;
-        let first = self.first_number(now);
-        let peer = self.peers.entry(h.from.clone()).or_insert_with(|| Peer::new(usual, first));
-        peer.seen_at = self.awake;
+        let (awake, life) = (self.awake, self.life);
+        let peer = self.peer(now, &h.from);
+        peer.seen_at = awake;
         if !peer.comes.take(now, 1.0) {
             return;
         }
-        match peer.session.take(self.life, h.to, h.life, h.incarnation, h.number) {
+        match peer.session.take(life, h.to, h.life, h.incarnation, h.number) {
             Counts::Yes => {}
             Counts::Anew => {
                 (peer.told, peer.facts_acked, peer.facts) = Default::default();
@@ -747,6 +746,13 @@
         now.saturating_sub(self.started.unwrap_or(now)) / 1_000
     }
 
+    /// What is known of another; nothing yet, if it is new.
+    fn peer(&mut self, now: u64, name: &str) -> &mut Peer {
+        let usual = 1e6 / self.plan.interval_us(self.table.len()) as f64;
+        let first = self.first_number(now);
+        self.peers.entry(name.into()).or_insert_with(|| Peer::new(usual, first))
+    }
+
     fn head(&self, life: u64, number: u64) -> Head {
         let me = self.me();
         let (from, incarnation, wanted) = (me.name.clone(), me.incarnation, self.unheard.clone());
@@ -770,13 +776,11 @@
     }
 
     fn send_to(&mut self, name: &str, address: SocketAddr, now: u64, extra: Extra, out: &mut Vec<Output>) {
-        let usual = 1e6 / self.plan.interval_us(self.table.len()) as f64;
         let interval = self.plan.interval_us(self.table.len().saturating_sub(1));
-        let first = self.first_number(now);
-        let peer = self.peers.entry(name.into()).or_insert_with(|| Peer::new(usual, first));
+        let known = self.table.get(name).map(|r| (r.life, r.there(), r.number));
+        let peer = self.peer(now, name);
         peer.due = now + interval;
         peer.session.number += 1;
-        let known = self.table.get(name).map(|r| (r.life, r.there(), r.number));
         // A life that it says to have, or that others say.
         let life =
             if peer.session.says != 0 { peer.session.says } else { known.map_or(0, |(life, ..)| life) };
