Lab: what came of proposals is counted in one place; arrivals and lists written once

Read again: policy.rs handed a proposal's end through the function that brings all back, and kept by hand whom to start again, which the stage knows; quota-links and counter-faults wrote Poisson arrivals and the list of servers each.

--- a/crates/lab/src/counter_faults.rs
+++ b/crates/lab/src/counter_faults.rs
@@ -2,10 +2,10 @@
 //! customers far beyond their quota beside honest ones. What comes too much, and what is still served.
 
 use crate::figures::Figures;
-use crate::load::{beyond, Got, Load, Shape, CHECK, TOP_UP};
-use crate::servers::{Meter, Server, Use};
+use crate::load::{apart, beyond, Got, Load, Shape, CHECK, TOP_UP};
+use crate::servers::{all_ready, Meter, Server, Use};
 use crate::site::{pause, Node, Peers};
-use frosthatch_standins::{target, Discovery, Lie, SharedCounter};
+use frosthatch_standins::{Discovery, Lie, SharedCounter};
 use rand_pcg::rand_core::{RngCore, SeedableRng};
 use rand_pcg::Pcg64Mcg;
 use std::sync::{Arc, Mutex};
@@ -189,9 +189,7 @@
     let anywhere = ([127, 0, 0, 1], 0).into();
     let servers: Vec<Server> =
         (0..5).map(|_| Server::with_meter(on, anywhere, false, Some(meter.clone()))).collect();
-    let list: Vec<String> =
-        servers.iter().enumerate().map(|(n, s)| target(&format!("s{n}"), s.address, 1, "Ready")).collect();
-    let agent = Discovery::new(&list.join(","));
+    let agent = Discovery::new(&all_ready(&servers));
     let counter = SharedCounter::new(3);
     let peers = peers.then(|| Peers::new(GATEWAYS));
     let gateways: Vec<_> = (0..GATEWAYS)
@@ -222,9 +220,7 @@
                 let mut due = Duration::ZERO;
                 let mut out = tokio::task::JoinSet::new();
                 loop {
-                    // Poisson arrivals.
-                    let chance = (f64::from(rng.next_u32()) + 1.0) / (f64::from(u32::MAX) + 1.0);
-                    due += Duration::from_secs_f64(-chance.ln() / (c.quota.rate * c.of_rate));
+                    due += apart(&mut rng, c.quota.rate * c.of_rate);
                     if due >= length {
                         break;
                     }
--- a/crates/lab/src/load.rs
+++ b/crates/lab/src/load.rs
@@ -194,3 +194,9 @@
     }
     over
 }
+
+/// From one Poisson arrival to the next.
+pub fn apart(rng: &mut Pcg64Mcg, per_s: f64) -> Duration {
+    let chance = (f64::from(rng.next_u32()) + 1.0) / (f64::from(u32::MAX) + 1.0);
+    Duration::from_secs_f64(-chance.ln() / per_s)
+}
--- a/crates/lab/src/policy.rs
+++ b/crates/lab/src/policy.rs
@@ -146,6 +146,8 @@
     nowhere: BTreeSet<String>,
     /// By the beginning of a document's digest.
     ceilings: BTreeMap<String, f64>,
+    /// How proposals ended, as far as whoever made them was told.
+    ends: BTreeMap<String, usize>,
 }
 
 impl World {
@@ -160,6 +162,7 @@
             in_force: BTreeMap::new(),
             nowhere: BTreeSet::new(),
             ceilings: BTreeMap::new(),
+            ends: BTreeMap::new(),
         };
         world.site.agrees(ALL);
         world
@@ -232,7 +235,9 @@
         over(&uses, &changes)
     }
 
+    /// What whoever proposed a document was told of it; none: nothing.
     fn told(&mut self, document: &str, version: u64, end: Option<&str>) {
+        *self.ends.entry(end.unwrap_or_default().into()).or_default() += 1;
         let ceiling =
             document.split("ceiling_rate = ").nth(1).and_then(|rest| rest.lines().next()?.parse().ok());
         self.ceilings.extend(ceiling.map(|c| (digest(document)[..12].to_string(), c)));
@@ -266,10 +271,8 @@
         let document = document_with(version + 1, &parent, 100.0 + n as f64, ceiling);
         let before = w.site.shots().refused;
         *row.by_wrong.entry(wrong).or_default() += 1;
-        let (end, took) = change(&mut w, wrong, version + 1, &document, &mut row);
-        *row.ends.entry(end.clone().unwrap_or_default()).or_default() += 1;
+        let (end, took) = change(&mut w, wrong, version + 1, &document);
         w.told(&document, version + 1, end.as_deref());
-        w.site.act(Act::Heal);
         let now = w.one_policy();
         let refused = w.site.shots().refused - before;
         match (wrong, &end) {
@@ -292,6 +295,7 @@
         }
     }
     row.shots = w.site.end(&runtime);
+    row.ends.clone_from(&w.ends);
     let all = w.agreed.let_in(ALL);
     row.let_in = all.len();
     (row.window, row.seen) = agreed::window(&all);
@@ -325,12 +329,11 @@
 
 /// Makes one change while something goes wrong; how it ended, as far as whoever proposed it knows, and how long it took. All that were
 /// killed or stopped are back.
-fn change(w: &mut World, wrong: Wrong, version: u64, document: &str, row: &mut Row) -> (Option<String>, f64) {
+fn change(w: &mut World, wrong: Wrong, version: u64, document: &str) -> (Option<String>, f64) {
     let mut by = w.below(ALL);
     let plain = KEEPERS + w.below(ALL - KEEPERS);
     let keeper = w.below(KEEPERS);
     let others = |of: usize| (0..ALL).filter(|n| *n != of).collect::<Vec<_>>();
-    let soon = Duration::from_millis(w.below(250) as u64);
     match wrong {
         Wrong::Keeper => {
             // Those that were cut off just now are keepers that are lost, too, until they have caught up.
@@ -360,17 +363,19 @@
             let other = document.replace("rate = 6\n", "rate = 5\n");
             let at = w.console(b[0]);
             if let Some(Ok(number)) = at.and_then(|at| agreed::propose(at, &other)) {
-                let (end, _) = w.end(b[0], number).unwrap_or_default();
-                w.told(&other, version, Some(end.as_str()).filter(|e| !e.is_empty()));
-                *row.ends.entry(end).or_default() += 1;
+                let end = w.end(b[0], number);
+                w.told(&other, version, end.as_ref().map(|(end, _)| end.as_str()));
             }
         }
         _ => {}
     }
     // Who is gone is known to be before it is proposed: else it is waited for, and the change is nowhere.
-    let gone = usize::from(matches!(wrong, Wrong::Keeper | Wrong::Stopped | Wrong::CutOff));
-    if gone > 0 {
-        let gone = if wrong == Wrong::Keeper { keeper } else { plain };
+    let gone = match wrong {
+        Wrong::Keeper => Some(keeper),
+        Wrong::Stopped | Wrong::CutOff => Some(plain),
+        _ => None,
+    };
+    if let Some(gone) = gone {
         while by == gone {
             by = w.below(ALL);
         }
@@ -384,13 +389,22 @@
             pause(Duration::from_millis(20));
         }
     }
-    let Some(at) = w.console(by) else { return (None, 0.0) };
-    let other = (by + 1 + w.below(ALL - 1)) % ALL;
-    let number = match agreed::propose(at, document) {
+    let ended = propose(w, wrong, by, version, document);
+    if wrong == Wrong::Stopped {
+        w.site.stage.act(&Act::Continue { who: vec![plain] });
+    }
+    back(w);
+    ended
+}
+
+/// Proposes by one, and does what goes wrong from then on.
+fn propose(w: &mut World, wrong: Wrong, by: usize, version: u64, document: &str) -> (Option<String>, f64) {
+    let (other, soon) = ((by + 1 + w.below(ALL - 1)) % ALL, Duration::from_millis(w.below(250) as u64));
+    let number = match w.console(by).and_then(|at| agreed::propose(at, document)) {
         Some(Ok(number)) => number,
         // It has no lease, or too many are under way.
-        Some(Err(_)) => return (back(w, wrong, by, keeper, plain, Some("refused")), 0.0),
-        None => return (back(w, wrong, by, keeper, plain, None), 0.0),
+        Some(Err(_)) => return (Some("refused".into()), 0.0),
+        None => return (None, 0.0),
     };
     let mut second = None;
     match wrong {
@@ -401,6 +415,8 @@
         Wrong::Keepers => {
             pause(soon);
             w.site.act(Act::Kill { who: (0..KEEPERS).collect() });
+            pause(Duration::from_secs(1));
+            w.site.stage.act(&Act::Start { who: (0..KEEPERS).collect() });
         }
         Wrong::Everybody => {
             pause(soon);
@@ -416,47 +432,23 @@
         }
         _ => {}
     }
-    if wrong == Wrong::Keepers {
-        pause(Duration::from_secs(1));
-        w.site.stage.act(&Act::Start { who: (0..KEEPERS).collect() });
-    }
     let ended = w.end(by, number);
     if let Some((number, two)) = second {
         let end = w.end(other, number).map(|(end, _)| end);
-        *row.ends.entry(end.clone().unwrap_or_default()).or_default() += 1;
         w.told(&two, version, end.as_deref());
     }
-    let (end, took) = ended.map_or((None, 0.0), |(end, took)| (Some(end), took));
-    (back(w, wrong, by, keeper, plain, end.as_deref()), took)
+    ended.map_or((None, 0.0), |(end, took)| (Some(end), took))
 }
 
 /// All are there again, and clients go to them once they serve.
-fn back(
-    w: &mut World,
-    wrong: Wrong,
-    by: usize,
-    keeper: usize,
-    plain: usize,
-    end: Option<&str>,
-) -> Option<String> {
-    let who = match wrong {
-        Wrong::Keeper => vec![keeper],
-        Wrong::Proposer => vec![by],
-        Wrong::Keepers => (0..KEEPERS).collect(),
-        Wrong::Everybody => (0..ALL).collect(),
-        _ => Vec::new(),
-    };
-    if wrong == Wrong::Stopped {
-        w.site.stage.act(&Act::Continue { who: vec![plain] });
-    }
+fn back(w: &mut World) {
     w.site.stage.act(&Act::Heal);
-    let who: Vec<usize> = who.into_iter().filter(|n| !w.site.stage.processes[*n].runs()).collect();
+    let who: Vec<usize> = (0..ALL).filter(|n| !w.site.stage.processes[*n].runs()).collect();
     w.site.stage.act(&Act::Start { who: who.clone() });
     who.iter().for_each(|n| w.site.stage.wait_ready(*n));
     w.one_policy();
     w.site.agrees(ALL);
     w.site.open();
-    end.map(String::from)
 }
 
 /// Microseconds of processor time that a request costs three gateways that talk, with leases or without.
--- a/crates/lab/src/quota_links.rs
+++ b/crates/lab/src/quota_links.rs
@@ -3,11 +3,11 @@
 //! the greedy one gets beyond its quota, and how long after a fault all is as before.
 
 use crate::figures::Figures;
-use crate::load::{self, Got, Load, Shape, CHECK};
+use crate::load::{self, apart, Got, Load, Shape, CHECK};
 use crate::rig::{fleet_file, Act, Faults, Process, Relay, Stage};
-use crate::servers::Server;
+use crate::servers::{all_ready, Server};
 use crate::site::{pause, Node};
-use frosthatch_standins::{config_file, target, Discovery};
+use frosthatch_standins::{config_file, Discovery};
 use rand_pcg::rand_core::{RngCore, SeedableRng};
 use rand_pcg::Pcg64Mcg;
 use std::sync::{Arc, Mutex};
@@ -108,9 +108,7 @@
     let runtime = Runtime::new().expect("a runtime");
     let on = runtime.handle();
     let servers: Vec<Server> = (0..8).map(|_| Server::start(on, false)).collect();
-    let list: Vec<String> =
-        servers.iter().enumerate().map(|(n, s)| target(&format!("s{n}"), s.address, 1, "Ready")).collect();
-    let agent = Discovery::new(&list.join(","));
+    let agent = Discovery::new(&all_ready(&servers));
     let relay = Relay::new(on, GATEWAYS, seed);
     let key = config_file("a key of the lab's own, long enough for all");
     let processes = (0..GATEWAYS).map(|me| {
@@ -173,9 +171,7 @@
     let mut due = Duration::ZERO;
     let mut out = tokio::task::JoinSet::new();
     loop {
-        // Poisson arrivals.
-        let chance = (f64::from(rng.next_u32()) + 1.0) / (f64::from(u32::MAX) + 1.0);
-        due += Duration::from_secs_f64(-chance.ln() / per_s);
+        due += apart(&mut rng, per_s);
         if due >= length {
             break;
         }
--- a/crates/lab/src/servers.rs
+++ b/crates/lab/src/servers.rs
@@ -1,5 +1,6 @@
 //! Servers with cores: a request takes its work, longer while the server is cold, and waits while all cores are busy.
 
+use frosthatch_standins::target;
 use std::collections::hash_map::Entry;
 use std::collections::HashMap;
 use std::net::SocketAddr;
@@ -245,3 +246,9 @@
         }
     }
 }
+
+/// The list in which all of them are ready, in one cell.
+pub fn all_ready(servers: &[Server]) -> String {
+    let one = |(n, s): (usize, &Server)| target(&format!("s{n}"), s.address, 1, "Ready");
+    servers.iter().enumerate().map(one).collect::<Vec<_>>().join(",")
+}
