--- a/crates/accord/src/node.rs
+++ b/crates/accord/src/node.rs
@@ -379,7 +379,12 @@
         Ok(number)
     }
 
-    /// Does what is due. `there`: as for [`Node::propose`].
+    /// Whether a proposal is under way here.
+    pub fn proposes(&self) -> bool {
+        self.proposals.values().any(|p| p.proposer.end().is_none())
+    }
+
+    /// Does what is due. `there`: as for [`Node::propose`]; nobody looks at it while nothing is proposed.
     pub fn tick(&mut self, now: u64, there: &[String], out: &mut Vec<Out>) {
         self.keep(now, out);
         self.join(now, out);
@@ -678,8 +683,7 @@
     /// As a keeper: what somebody left half done is finished.
     fn bring_together(&mut self, now: u64, out: &mut Vec<Out>) {
         let keeps = self.own.as_ref().is_some_and(Own::keeps);
-        let busy = self.proposals.values().any(|p| p.proposer.end().is_none());
-        if !keeps || busy || !self.tenant.apart(now) {
+        if !keeps || self.proposes() || !self.tenant.apart(now) {
             self.apart_since = None;
             return;
         }
--- a/crates/frosthatch/src/policy.rs
+++ b/crates/frosthatch/src/policy.rs
@@ -184,8 +184,9 @@
             to_disk,
             audit: RefCell::new(audit.map(BufWriter::new)),
         });
-        if let Some(path) = agreed.folder.clone().filter(|_| keeper) {
-            desk.keep(&path);
+        let folder = agreed.folder.clone().filter(|_| keeper);
+        if let Some(path) = &folder {
+            desk.keep(path);
             // Writes have a thread of their own, so that a slow disk holds no request up.
             std::thread::spawn(move || {
                 for (folder, record) in records {
@@ -198,7 +199,7 @@
         member.set_reader(desk.clone());
         engine.set_warrant(desk.clone());
         engine.look();
-        tokio::task::spawn_local(desk.clone().run(written, agreed.folder.clone().filter(|_| keeper)));
+        tokio::task::spawn_local(desk.clone().run(written, folder));
         Ok(desk)
     }
 
@@ -241,7 +242,8 @@
                     self.node.borrow_mut().stored(self.now(), how, &mut out);
                 }
                 _ = ticks.tick() => {
-                    let there = self.others();
+                    let proposes = self.node.borrow().proposes();
+                    let there = if proposes { self.others() } else { Vec::new() };
                     self.node.borrow_mut().tick(self.now(), &there, &mut out);
                     if let Some(path) = folder.as_ref().filter(|_| self.folder.borrow().is_none()) {
                         without = (without + 1) % FOLDER_TICKS;
