Policy: killed at each step by name, a plug-in missing at one of nine, 300 members counted

Builds for tests take dies_at and dies_after: the process aborts just before a named step (check, checked, prepare, promised, store, stored, accept, accepted, told). crates/frosthatch/tests/policy.rs: 15 such deaths of whoever proposes and of a keeper, every second time of all four processes; all hold the same after, what was told holds, the next change is made. Nine processes, one with another plug-in: refused with its name, nobody changes; one that joins in the middle holds the change too.

A try that counted on a keeper's 'accepted' failed where its word came too late to be needed: the test proposes again then.

--- a/crates/accord/src/letter.rs
+++ b/crates/accord/src/letter.rs
@@ -52,6 +52,25 @@
         postcard::to_allocvec(self).unwrap_or_default()
     }
 
+    /// What it is, in a word.
+    pub fn name(&self) -> &'static str {
+        match self {
+            Letter::Ask { ask: Ask::Prepare(_), .. } => "prepare",
+            Letter::Ask { ask: Ask::Join(..), .. } => "join",
+            Letter::Ask { ask: Ask::Accept(..), .. } => "accept",
+            Letter::Ask { ask: Ask::Lease, .. } => "lease",
+            Letter::Answer { answer: Answer::Promised(..), .. } => "promised",
+            Letter::Answer { answer: Answer::Accepted(_), .. } => "accepted",
+            Letter::Answer { answer: Answer::Outrun(_), .. } => "outrun",
+            Letter::Answer { answer: Answer::Busy(_), .. } => "busy",
+            Letter::Answer { answer: Answer::Lease(_), .. } => "grant",
+            Letter::Check { .. } => "check",
+            Letter::Checked { .. } => "checked",
+            Letter::Want { .. } => "want",
+            Letter::Part { .. } => "part",
+        }
+    }
+
     /// None: it is none of ours.
     pub fn read(bytes: &[u8]) -> Option<Letter> {
         let (letter, rest) = postcard::take_from_bytes(bytes).ok()?;
--- a/crates/frosthatch/src/operator.rs
+++ b/crates/frosthatch/src/operator.rs
@@ -48,6 +48,8 @@
     pub audit: Option<PathBuf>,
     /// Thousandths by which this gateway's clock is made fast; in builds for tests only.
     pub skew: i64,
+    /// Where this process dies of itself, and how often it gets by there before; in builds for tests only.
+    pub dies: Option<(String, u64)>,
 }
 
 /// The `[fleet]` table, or `[peers]`, its earlier form.
@@ -468,8 +470,10 @@
     let patience = s.millis(r, "patience_ms", 500..=600_000, Duration::from_secs(10));
     let audit = s.text(r, "audit").map(|f| folder.join(f));
     let skew = if cfg!(debug_assertions) { s.number(r, "skew", -100..=100, 0) } else { 0 };
+    let dies = if cfg!(debug_assertions) { s.text(r, "dies_at").map(String::from) } else { None };
+    let dies = dies.map(|at| (at, s.number(r, "dies_after", 0..=1_000, 0).unsigned_abs()));
     s.finish(r);
-    Some(Agreed { keepers, folder: own, lease, drift, on_lost, patience, audit, skew })
+    Some(Agreed { keepers, folder: own, lease, drift, on_lost, patience, audit, skew, dies })
 }
 
 /// The fleet's common keys.
--- a/crates/frosthatch/src/policy.rs
+++ b/crates/frosthatch/src/policy.rs
@@ -4,6 +4,7 @@
 use crate::operator::Agreed;
 use frosthatch_accord::document::{hex, sha256, Document};
 use frosthatch_accord::folder::Folder;
+use frosthatch_accord::letter::Letter;
 use frosthatch_accord::node::{self, Node, Out, Standing};
 use frosthatch_accord::proposer::End;
 use frosthatch_accord::record::Record;
@@ -118,6 +119,8 @@
     /// When it started, and by how many thousandths its clock is made fast from then on.
     began: u64,
     skew: i64,
+    /// For tests: where it dies, once it has got by there so often.
+    dies: RefCell<Option<(String, u64)>>,
     /// What the decisions were told, and under what they serve.
     given: Cell<Option<Standing>>,
     under: Cell<(Id, Option<Id>)>,
@@ -177,6 +180,7 @@
             running,
             began: engine.now(),
             skew: agreed.skew,
+            dies: RefCell::new(agreed.dies.clone()),
             given: Cell::default(),
             under: Cell::default(),
             looked_at: Cell::new(0),
@@ -239,6 +243,7 @@
             let mut out = Vec::new();
             tokio::select! {
                 Some(how) = written.recv() => {
+                    self.dies_at("stored");
                     self.node.borrow_mut().stored(self.now(), how, &mut out);
                 }
                 _ = ticks.tick() => {
@@ -265,15 +270,36 @@
     fn carry_out(&self, out: Vec<Out>) {
         for output in out {
             match output {
-                Out::Send { to, bytes } => self.member.post(&to, bytes),
+                Out::Send { to, bytes } => {
+                    if self.dies.borrow().is_some() {
+                        self.dies_at(Letter::read(&bytes).map_or("", |l| l.name()));
+                    }
+                    self.member.post(&to, bytes);
+                }
                 Out::Store(record) => {
+                    self.dies_at("store");
                     if let Some(folder) = &*self.folder.borrow() {
                         // Its thread lives as long as this.
                         let _ = self.to_disk.send((folder.attached(), record));
                     }
                 }
-                Out::Log(line) => eprintln!("{line}"),
+                Out::Log(line) => {
+                    if line.starts_with("policy: in-force") {
+                        self.dies_at("told");
+                    }
+                    eprintln!("{line}");
+                }
+            }
+        }
+    }
+
+    /// For tests: the end of this process, as suddenly as a process can bring it about, just before something is done.
+    fn dies_at(&self, step: &str) {
+        if let Some((_, left)) = self.dies.borrow_mut().as_mut().filter(|(at, _)| at == step) {
+            if *left == 0 {
+                std::process::abort();
             }
+            *left -= 1;
         }
     }
 
--- a/crates/frosthatch/tests/policy.rs
+++ b/crates/frosthatch/tests/policy.rs
@@ -50,6 +50,14 @@
         fleet
     }
 
+    /// A process gets another table, and starts anew with it.
+    fn restart(&mut self, who: usize, more: &str) {
+        self.stage.act(&Act::Kill { who: vec![who] });
+        let file = fleet_file(&self.stage.relay, who, &self.key, &self.agreed.table(who, more));
+        self.stage.processes[who].rewrite(&file);
+        self.stage.start(who);
+    }
+
     fn console(&self, by: usize) -> SocketAddr {
         self.stage.processes[by].console().expect("a console")
     }
@@ -317,3 +325,124 @@
     let (window, seen) = agreed::window(&fleet.agreed.let_in(5));
     assert_eq!((window, seen), (0, 6), "for so many us somebody let requests in under an old version");
 }
+
+/// Whoever proposes and each keeper, killed at each step by name, alone or with everybody else: what was told holds, and of the rest all
+/// hold the same; the next change is made.
+#[test]
+fn killed_at_each_step_by_name_a_change_is_everywhere_or_nowhere() {
+    let mut fleet = Fleet::new("steps", 4, "");
+    let (mut version, mut parent) = (0, String::new());
+    // Who dies, just before what, having done it so often. The fourth keeps nothing; it asks three others and three keepers.
+    let steps = [
+        (3, "check", 0),
+        (3, "check", 1),
+        (3, "prepare", 0),
+        (3, "prepare", 2),
+        (3, "accept", 0),
+        (3, "accept", 1),
+        (3, "accept", 2),
+        (3, "told", 0),
+        (1, "checked", 0),
+        (1, "store", 0),
+        (1, "stored", 0),
+        (1, "promised", 0),
+        (1, "store", 1),
+        (1, "stored", 1),
+        (1, "accepted", 0),
+    ];
+    let mut came = 0;
+    for (turn, (who, step, after)) in steps.into_iter().enumerate() {
+        fleet.restart(who, &format!("dies_at = {step:?}\ndies_after = {after}\n"));
+        fleet.all_hold(version);
+        assert!((0..4).all(|n| fleet.asks(n) == 200), "before {step} {after}");
+        let mut next = document(version + 1, &parent, 100.0 + turn as f64);
+        // It may die before it has said that it took it up.
+        let propose = |f: &Fleet, next: &str| {
+            agreed::propose(f.console(3), next).map(|n| n.expect("it can be proposed"))
+        };
+        let mut number = propose(&fleet, &next);
+        let since = Instant::now();
+        while !fleet.stage.processes[who].ended() {
+            assert!(since.elapsed() < LONG, "nobody died at {step} {after}");
+            // A keeper whose word came too late to be needed may not have got there: then with the next one.
+            let ended = number.filter(|_| who != 3).and_then(|n| agreed::end(fleet.console(3), n));
+            if ended.is_some_and(|(state, _)| state == "in force") {
+                std::thread::sleep(Duration::from_millis(700));
+                if !fleet.stage.processes[who].ended() {
+                    (version, parent) = (version + 1, agreed::digest(&next));
+                    next = document(version + 1, &parent, 100.0 + turn as f64);
+                    number = propose(&fleet, &next);
+                }
+            }
+            std::thread::sleep(Duration::from_millis(5));
+        }
+        let told = number.filter(|_| who != 3).and_then(|n| agreed::end(fleet.console(3), n));
+        let told = told.is_some_and(|(state, _)| state == "in force");
+        let all: Vec<usize> = (0..4).filter(|n| turn % 2 == 1 || *n == who).collect();
+        fleet.stage.act(&Act::Kill { who: all.clone() });
+        if turn % 2 == 0 && who == 1 {
+            // The others go on without it, and whoever proposed is told.
+            let number = number.expect("it was taken up");
+            fleet.until("told", |f| agreed::end(f.console(3), number).is_some_and(|(s, _)| s != "open"));
+        }
+        let file = fleet_file(&fleet.stage.relay, who, &fleet.key, &fleet.agreed.table(who, ""));
+        fleet.stage.processes[who].rewrite(&file);
+        all.into_iter().for_each(|n| fleet.stage.start(n));
+        let high = |f: &Fleet| {
+            let held: Vec<_> = f.stage.processes.iter().map(agreed::holds).collect();
+            held.iter().all(|v| v.is_some() && *v == held[0]).then(|| held[0]).flatten()
+        };
+        fleet.until("all hold the same", |f| high(f).is_some());
+        let mut held = high(&fleet).expect("they do");
+        let mut again = document(version + 1, &parent, 300.0 + turn as f64);
+        if held == version && fleet.propose(0, &again).0 == "in force" {
+            assert!(!told, "told as in force at {step} {after}, and lost");
+        } else {
+            // It was there already, or half done and finished by the next one.
+            fleet.until("all hold what was left", |f| high(f) == Some(version + 1));
+            held = version + 1;
+            (version, parent) = (held, agreed::digest(&next));
+            came += 1;
+            again = document(version + 1, &parent, 300.0 + turn as f64);
+            assert_eq!(fleet.propose(0, &again).0, "in force", "after {step} {after}");
+        }
+        assert!(held <= version, "{held} after {step} {after}");
+        (version, parent) = (version + 1, agreed::digest(&again));
+        fleet.all_hold(version);
+        assert!((0..4).all(|n| fleet.asks(n) == 200));
+    }
+    // Both came about, or the steps were not where their names say.
+    assert!((3..steps.len() - 3).contains(&came), "{came} of {} came to be in force", steps.len());
+    fleet.kept(steps.len());
+}
+
+/// Of nine gateways one cannot read the plug-in that a policy names, and another joins while it is asked for.
+#[test]
+fn a_plug_in_that_one_of_nine_does_not_have_keeps_the_policy_from_all() {
+    let module = r#"(module (memory (export "memory") 1)
+        (func (export "frosthatch_abi") (result i32) i32.const 1)
+        (func (export "alloc") (param i32) (result i32) i32.const 1024)
+        (func (export "on_request") (param i32 i32) (result i64) i64.const 0))"#;
+    let (file, other) = (config_file(module), config_file(&module.replace("1024", "2048")));
+    let table = |file: &PathBuf| format!("[plugins.till]\nfile = {file:?}\n");
+    let mut fleet = Fleet::each("nine", 9, |n| table(if n == 8 { &other } else { &file }));
+    let bytes = std::fs::read(&file).expect("the module");
+    let digest = frosthatch_accord::document::hex(&frosthatch_accord::document::sha256(&bytes));
+    let first = format!("{}[plugins.till]\nsha256 = {digest:?}\n", document(1, "", 100.0));
+    let (state, why) = fleet.propose(4, &first);
+    assert!(state == "refused" && why.contains("n8") && why.contains("another here"), "{state} {why}");
+    assert!(fleet.stage.processes.iter().all(|p| agreed::holds(p) == Some(0)));
+    // One that joins in the middle of a change holds it, too.
+    fleet.restart(8, &table(&file));
+    fleet.stage.act(&Act::Kill { who: vec![7] });
+    fleet.all_see(8);
+    let number = agreed::propose(fleet.console(4), &first).expect("an answer").expect("it can be proposed");
+    fleet.stage.start(7);
+    fleet.until("in force", |f| agreed::end(f.console(4), number).is_some_and(|(s, _)| s == "in force"));
+    fleet.all_hold(1);
+    assert!((0..9).all(|n| fleet.asks(n) == 200));
+    fleet.kept(1);
+    for file in [file, other] {
+        let _ = std::fs::remove_file(file);
+    }
+}
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod membership_size;
 pub mod plugins;
 pub mod policy;
+pub mod policy_size;
 pub mod quota_links;
 pub mod rig;
 pub mod servers;
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -37,7 +37,7 @@
 type Play = fn(Option<u64>, &mut Figures);
 
 /// The scenarios: name, what each shows, and how it is played.
-const SCENARIOS: [(&str, &str, Play); 11] = [
+const SCENARIOS: [(&str, &str, Play); 12] = [
     ("dns-sd", "500 requests/s while DNS-SD records change, asked for and pushed", dns_sd::play),
     (
         "diameter",
@@ -65,6 +65,11 @@
         "9 gateways, 40 changes of policy by each of five seeds, and what goes wrong meanwhile",
         policy::play,
     ),
+    (
+        "policy-size",
+        "the agreement of 300 members in virtual time: bytes, datagrams, how long a change takes",
+        policy_size::play,
+    ),
     ("power-loss", "all gateways killed within writes, and what was told as in force", policy::power_loss),
     ("plugins", "a stuck plug-in beside 500 requests/s, and what plug-ins cost", plugins::play),
     ("upgrade", "500 requests/s while processes are replaced, half of the starts failing", upgrade::play),
--- a/crates/lab/src/rig/stage.rs
+++ b/crates/lab/src/rig/stage.rs
@@ -83,6 +83,16 @@
         Process { node, operator, running: None, stopped: false, said: Arc::default() }
     }
 
+    /// Another file of its operator, from its next start on.
+    pub fn rewrite(&mut self, operator: &str) {
+        self.operator = Some(OperatorFile::new(operator));
+    }
+
+    /// Whether it has ended by itself.
+    pub fn ended(&mut self) -> bool {
+        self.running.as_mut().is_some_and(|g| !g.runs())
+    }
+
     pub fn runs(&self) -> bool {
         self.running.is_some() && !self.stopped
     }
