Subsets dealt by score among the gateways there are, and servers in trouble told of

Need: subsets were dealt by number and a fixed count: a gateway that was gone left its part to nobody, and where the ready servers passed a multiple of ten all was dealt anew (subset.rs, of: a_round = ready / least). Measured at 300 by 199, one server more: 9.4 of 10 servers new to a gateway; one gateway fewer in the middle: 5.2.

--- a/crates/engine/src/engine.rs
+++ b/crates/engine/src/engine.rs
@@ -183,6 +183,26 @@
         self.feed(Event::Absent(gateways));
     }
 
+    /// These gateways are there, by number: servers are dealt out among them.
+    pub fn gateways(self: &Rc<Self>, gateways: Vec<u32>) {
+        self.feed(Event::Gateways(gateways));
+    }
+
+    /// Another gateway says this of servers.
+    pub fn said(self: &Rc<Self>, from: u32, words: turndeck::Words) {
+        self.feed(Event::Words { from, words });
+    }
+
+    /// What this one says of servers.
+    pub fn words(&self) -> turndeck::Words {
+        self.inner.borrow().gateway.words()
+    }
+
+    /// Gateways among which servers are dealt out, servers that this one uses, and those that all leave alone.
+    pub fn choices(&self) -> [usize; 3] {
+        self.inner.borrow().gateway.choices()
+    }
+
     /// Takes a request. Its one answer comes by the receiver before the client leaves.
     pub fn take(self: &Rc<Self>, arrival: Arrival) -> Result<oneshot::Receiver<Answer>, Duplicate> {
         let (sender, receiver) = oneshot::channel();
--- /dev/null
+++ b/crates/frosthatch/src/choices.rs
@@ -0,0 +1,141 @@
+//! What gateways choose by each other's word: carries the view of the fleet and what is said of servers between members and decisions. No
+//! rules here but when a view is steady enough to go by.
+
+use frosthatch_engine::Engine;
+use frosthatch_members::driver::Member;
+use frosthatch_members::Fleet;
+use std::collections::BTreeMap;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::time::{interval, MissedTickBehavior};
+use turndeck::Words;
+
+/// How often is looked what is new.
+const LOOK: Duration = Duration::from_millis(100);
+/// One that came is gone by once the view has stayed for so long; one that went at once.
+const STEADY_US: u64 = 300_000;
+/// Names of the figures by which members tell of servers: how many they use, and each server's key behind this.
+const USES: &str = "uses";
+const OF_SERVER: &str = "s:";
+/// Parts of what failed are told in steps of this, so that chance is no news.
+const STEP: f64 = 0.1;
+
+/// Members by whose number servers are dealt out, and what was told and heard so far.
+#[derive(Default)]
+struct Known {
+    gateways: Vec<u32>,
+    heard: BTreeMap<String, u64>,
+    told: BTreeMap<String, (f64, u64)>,
+}
+
+/// Numbers of the ready members.
+fn ready(fleet: &Fleet) -> Vec<u32> {
+    let names: Vec<&str> = fleet.ready().into_iter().map(|(.., name)| name).collect();
+    let of = fleet.members().filter(|m| names.contains(&m.record.name.as_str()));
+    let mut numbers: Vec<u32> = of.map(|m| u32::from(m.record.number)).collect();
+    numbers.sort_unstable();
+    numbers
+}
+
+/// What a member's figures say of servers.
+fn words(facts: impl Iterator<Item = (String, f64, u64)>) -> Words {
+    let mut words = Words::default();
+    for (name, value, at) in facts {
+        if name == USES {
+            words.uses = value as usize;
+        } else if let Some(Ok(key)) = name.strip_prefix(OF_SERVER).map(|k| u64::from_str_radix(k, 16)) {
+            words.of.push((key, value, at));
+        }
+    }
+    words
+}
+
+/// The figures that tell it.
+fn figures(words: &Words) -> BTreeMap<String, (f64, u64)> {
+    let step = |errors: f64| (errors / STEP).round() * STEP;
+    let of =
+        words.of.iter().map(|(key, errors, at)| (format!("{OF_SERVER}{key:016x}"), (step(*errors), *at)));
+    // Nothing is said of servers: then nobody needs to know how many there are.
+    let uses = (!words.of.is_empty()).then(|| (USES.to_string(), (words.uses as f64, 0)));
+    of.chain(uses).collect()
+}
+
+impl Known {
+    /// What the decisions are to go by from now on, if that is new.
+    fn view(&mut self, now: u64, fleet: &Fleet) -> Option<Vec<u32>> {
+        let ready = ready(fleet);
+        let came = ready.iter().any(|g| !self.gateways.contains(g));
+        let steady = now.saturating_sub(fleet.view().since) >= STEADY_US;
+        (ready != self.gateways && (steady || !came)).then(|| {
+            self.gateways = ready;
+            self.gateways.clone()
+        })
+    }
+
+    /// What members say that have said something new, by their numbers.
+    fn said(&mut self, fleet: &Fleet) -> Vec<(u32, Words)> {
+        let mut new = Vec::new();
+        for m in fleet.members().filter(|m| m.record.name != fleet.me().name) {
+            let Some(facts) = fleet.facts(&m.record.name) else { continue };
+            let heard = self.heard.entry(m.record.name.clone()).or_default();
+            if *heard != facts.version {
+                *heard = facts.version;
+                let all = facts.all().map(|(name, value, at)| (name.to_string(), value, at));
+                new.push((u32::from(m.record.number), words(all)));
+            }
+        }
+        self.heard.retain(|name, _| fleet.facts(name).is_some());
+        new
+    }
+}
+
+/// For good.
+pub async fn run(member: Rc<Member>, engine: Rc<Engine>) {
+    let mut ticks = interval(LOOK);
+    ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    let mut known = Known::default();
+    loop {
+        ticks.tick().await;
+        let view = member.with(|f| known.view(engine.now(), f));
+        view.into_iter().for_each(|gateways| engine.gateways(gateways));
+        for (from, words) in member.with(|f| known.said(f)) {
+            engine.said(from, words);
+        }
+        let figures = figures(&engine.words());
+        for name in known.told.keys().filter(|name| !figures.contains_key(*name)) {
+            member.clear_fact(name);
+        }
+        for (name, (value, at)) in &figures {
+            // That it goes on is told with the next second.
+            let same = |t: &(f64, u64)| t.0 == *value && at.saturating_sub(t.1) < 1_000_000;
+            if !known.told.get(name).is_some_and(same) {
+                member.set_fact_of(*at, name, *value);
+            }
+        }
+        let kept = |(name, figure): (String, (f64, u64))| {
+            let told =
+                known.told.get(&name).filter(|t| t.0 == figure.0 && figure.1.saturating_sub(t.1) < 1_000_000);
+            let told = told.copied().unwrap_or(figure);
+            (name, told)
+        };
+        known.told = figures.into_iter().map(kept).collect();
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn what_is_told_is_what_is_heard() {
+        let said = Words { uses: 12, of: vec![(3, 0.9, 7), (u64::MAX, 0.04, 9)] };
+        let figures = figures(&said);
+        assert!(figures.keys().all(|name| name.len() <= frosthatch_members::facts::MOST_NAME));
+        let heard = words(figures.into_iter().map(|(name, (value, at))| (name, value, at)));
+        assert_eq!(heard, Words { uses: 12, of: vec![(3, 0.9, 7), (u64::MAX, 0.0, 9)] });
+        assert!(super::figures(&Words { uses: 3, of: Vec::new() }).is_empty());
+        // What others tell of for other ends, or garbled, is none of it.
+        let other = [("policy", 3.0), ("s:", 1.0), ("s:xyz", 1.0)].map(|(n, v)| (n.to_string(), v, 1));
+        assert_eq!(words(other.into_iter()), Words::default());
+    }
+}
--- a/crates/frosthatch/src/console.rs
+++ b/crates/frosthatch/src/console.rs
@@ -72,7 +72,9 @@
     fn fleet(&self) -> Option<String> {
         let member = self.member.as_ref()?;
         let now = self.engine.now();
-        serde_json::to_string(&member.with(|f| fleet::shown(f, now))).ok()
+        let [gateways, servers_used, servers_out] = self.engine.choices();
+        let choices = fleet::ShownChoices { gateways, servers_used, servers_out };
+        serde_json::to_string(&member.with(|f| fleet::shown(f, choices, now))).ok()
     }
 
     fn leave_fleet(&self) -> bool {
--- a/crates/frosthatch/src/fleet.rs
+++ b/crates/frosthatch/src/fleet.rs
@@ -75,6 +75,7 @@
     /// This process talks to nobody any more: a later one runs under its name.
     pub replaced: bool,
     pub view: ShownView,
+    pub choices: ShownChoices,
     pub members: Vec<ShownMember>,
 }
 
@@ -85,6 +86,16 @@
     pub ready: usize,
 }
 
+/// What comes of what members tell each other of servers.
+#[derive(Debug, Serialize, Deserialize)]
+pub struct ShownChoices {
+    /// Gateways among which servers are dealt out.
+    pub gateways: usize,
+    /// Ready servers that this one uses, and those that all leave alone.
+    pub servers_used: usize,
+    pub servers_out: usize,
+}
+
 #[derive(Debug, Serialize, Deserialize)]
 pub struct ShownMember {
     pub name: String,
@@ -99,7 +110,7 @@
     pub heard_ms: Option<u64>,
 }
 
-pub fn shown(fleet: &Fleet, now: u64) -> Shown {
+pub fn shown(fleet: &Fleet, choices: ShownChoices, now: u64) -> Shown {
     let view = fleet.view();
     let member = |m: frosthatch_members::fleet::Seen| ShownMember {
         state: m.record.state().into(),
@@ -120,6 +131,7 @@
             stable_ms: now.saturating_sub(view.since) / 1_000,
             ready: view.ready,
         },
+        choices,
         members: fleet.members().map(member).collect(),
     }
 }
--- a/crates/frosthatch/src/operator.rs
+++ b/crates/frosthatch/src/operator.rs
@@ -68,6 +68,8 @@
     pub messages_per_s: u64,
     pub most_entries: usize,
     pub most_members: usize,
+    /// Servers are dealt out among the members, and those in trouble are told of.
+    pub choices: bool,
 }
 
 /// Where a gateway listens, and where the others are.
@@ -428,6 +430,7 @@
     let messages_per_s = s.number(r, "messages_per_s", 1..=100_000, 400).unsigned_abs();
     let most_entries = s.number(r, "most_entries", 100..=1_000_000, 50_000) as usize;
     let most_members = s.number(r, "most_members", 2..=5_000, 2_000) as usize;
+    let choices = s.yes_no(r, "choices", true);
     s.finish(r);
     // What is missing was told: nothing is made of it.
     let (at, key_file) = (at?, key_file?);
@@ -444,6 +447,7 @@
         messages_per_s,
         most_entries,
         most_members,
+        choices,
     })
 }
 
--- a/crates/frosthatch/src/serve.rs
+++ b/crates/frosthatch/src/serve.rs
@@ -3,7 +3,7 @@
 use crate::console::Console;
 use crate::node::Config;
 use crate::operator::{self, Operator};
-use crate::{diameter, fleet, handover, policy};
+use crate::{choices, diameter, fleet, handover, policy};
 use frosthatch_console as console;
 use frosthatch_counter as counter;
 use frosthatch_engine::{Clock, Engine, Fleet, Ledger, Rules, Tally};
@@ -127,6 +127,9 @@
     spawn_local(engine.clone().run_timers());
     if let (Some(member), Some(f)) = (&member, &operator.fleet) {
         spawn_local(member.clone().run(f.tick, engine.clone()));
+        if f.choices {
+            spawn_local(choices::run(member.clone(), engine.clone()));
+        }
     }
     spawn_local(backend::sweep(upstream.clone()));
     let servers = membership::Desk::new(engine.clone());
--- a/crates/lab/src/fleet_site.rs
+++ b/crates/lab/src/fleet_site.rs
@@ -12,6 +12,8 @@
 use std::time::{Duration, Instant};
 use tokio::runtime::{Handle, Runtime};
 
+/// Servers, where a scenario does not want others.
+pub const SERVERS: usize = 8;
 /// Requests a second.
 const PER_S: f64 = 300.0;
 /// How long all may take to know something, and to agree after the last heal.
@@ -59,24 +61,36 @@
 }
 
 impl Site {
-    /// So many processes of a fleet of `gateways`; `of` tells the number of each and what is added to its file.
+    /// So many processes of a fleet of `gateways`, before so many servers; `of` tells the number of each and what is added to its file.
     pub fn new(
         on: &Handle,
         seed: u64,
-        gateways: usize,
-        processes: usize,
+        (gateways, processes): (usize, usize),
+        servers: usize,
         of: impl Fn(usize, &Relay) -> (usize, String),
+    ) -> Site {
+        Site::listing(on, seed, (gateways, processes), servers, of, |_| None)
+    }
+
+    /// The same, some of them with a list agent of their own.
+    pub fn listing(
+        on: &Handle,
+        seed: u64,
+        (gateways, processes): (usize, usize),
+        servers: usize,
+        of: impl Fn(usize, &Relay) -> (usize, String),
+        agents: impl Fn(usize) -> Option<SocketAddr>,
     ) -> Site {
         let meter = Meter::new([(GREEDY.0, 10.0)].into_iter());
         let anywhere: SocketAddr = ([127, 0, 0, 1], 0).into();
         let server = |_| Server::with_meter(on, anywhere, false, Some(meter.clone()));
-        let servers: Vec<Server> = (0..8).map(server).collect();
+        let servers: Vec<Server> = (0..servers).map(server).collect();
         let agent = Discovery::new(&listed(&servers, "Ready", ""));
         let relay = Relay::new(on, processes, seed);
         let key = config_file("a key of the lab's own, long enough for all");
         let all = (0..processes).map(|n| {
             let (me, more) = of(n, &relay);
-            let discovery = agent.address;
+            let discovery = agents(n).unwrap_or(agent.address);
             let node = Node { gateways, me, discovery, counter: None, sockets: 512, memory_mb: 64 };
             Process::new(node, Some(fleet_file(&relay, n, &key, &more)))
         });
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -2,6 +2,7 @@
 //! faults between real processes. Everything is on ephemeral ports; what is started ends with the program.
 #![forbid(unsafe_code)]
 
+pub mod choices;
 pub mod counter_faults;
 pub mod demo;
 pub mod diameter;
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -37,7 +37,7 @@
 type Play = fn(Option<u64>, &mut Figures);
 
 /// The scenarios: name, what each shows, and how it is played.
-const SCENARIOS: [(&str, &str, Play); 12] = [
+const SCENARIOS: [(&str, &str, Play); 13] = [
     ("dns-sd", "500 requests/s while DNS-SD records change, asked for and pushed", dns_sd::play),
     (
         "diameter",
@@ -60,6 +60,11 @@
         "quotas by the gateways' own word while links are cut and processes die",
         quota_links::play,
     ),
+    (
+        "choices",
+        "12 gateways that choose among 60 servers: bad ones, gateways gone, cut off and lying",
+        choices::play,
+    ),
     (
         "policy",
         "9 gateways, 40 changes of policy by each of five seeds, and what goes wrong meanwhile",
--- a/crates/lab/src/members.rs
+++ b/crates/lab/src/members.rs
@@ -2,7 +2,7 @@
 //! know, who is accused wrongly, what it costs on the network, and whether clients see any of it.
 
 use crate::figures::Figures;
-use crate::fleet_site::{listed, Site, KNOWN_WITHIN};
+use crate::fleet_site::{listed, Site, KNOWN_WITHIN, SERVERS};
 use crate::rig::{Act, Faults};
 use crate::servers::Server;
 use crate::site::{cpu, pause};
@@ -81,7 +81,7 @@
     let runtime = Runtime::new().expect("a runtime");
     let on = runtime.handle();
     let mut rng = Pcg64Mcg::seed_from_u64(seed);
-    let mut site = Site::new(on, seed, ALL, ALL + 1, |n, _| {
+    let mut site = Site::new(on, seed, (ALL, ALL + 1), SERVERS, |n, _| {
         let me = if n == TWIN { 7 } else { n };
         let more =
             format!("name = \"n{me}\"\nregion = \"r{}\"\nzone = \"z{}\"\nforget_ms = 60000", me % 2, me % 4);
--- a/crates/lab/src/policy.rs
+++ b/crates/lab/src/policy.rs
@@ -2,7 +2,7 @@
 //! let in under what, and when. `power-loss`: all are killed within their writes, again and again.
 
 use crate::figures::Figures;
-use crate::fleet_site::{Shots, Site, GREEDY};
+use crate::fleet_site::{Shots, Site, GREEDY, SERVERS};
 use crate::rig::agreed::{self, digest, document_with, Agreed, LetIn};
 use crate::rig::{Act, Faults};
 use crate::site::{cpu, pause};
@@ -153,7 +153,7 @@
 impl World {
     fn new(on: &tokio::runtime::Handle, seed: u64, name: &str) -> World {
         let agreed = Agreed::new(&format!("{name}-{seed}"), KEEPERS, LEASE_MS);
-        let mut site = Site::new(on, seed, ALL, ALL, |n, _| (n, agreed.table(n, "")));
+        let mut site = Site::new(on, seed, (ALL, ALL), SERVERS, |n, _| (n, agreed.table(n, "")));
         site.stage.start_all();
         let world = World {
             site,
@@ -462,7 +462,7 @@
         let kept: Vec<&str> = all.lines().filter(|l| leases && !l.starts_with("audit")).collect();
         kept.join("\n")
     };
-    let mut site = Site::new(runtime.handle(), 9, GATEWAYS, GATEWAYS, |n, _| (n, table(n)));
+    let mut site = Site::new(runtime.handle(), 9, (GATEWAYS, GATEWAYS), SERVERS, |n, _| (n, table(n)));
     site.stage.start_all();
     site.agrees(GATEWAYS);
     // Beyond the first lease.
--- a/crates/lab/src/servers.rs
+++ b/crates/lab/src/servers.rs
@@ -4,7 +4,7 @@
 use std::collections::hash_map::Entry;
 use std::collections::HashMap;
 use std::net::SocketAddr;
-use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, AtomicU8, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
@@ -109,10 +109,23 @@
     meter: Option<Arc<Meter>>,
     born: Option<Instant>,
     cores: Semaphore,
+    /// What comes of a request.
+    mode: AtomicU8,
     /// When each request came, and the work that it takes.
     arrivals: Mutex<Vec<(Instant, Duration)>>,
 }
 
+/// What a server does with what comes.
+#[derive(Clone, Copy, Debug, PartialEq)]
+#[repr(u8)]
+pub enum Mode {
+    Well,
+    /// An error at once.
+    Failing,
+    /// Ten times the work.
+    Slow,
+}
+
 pub struct Server {
     pub address: SocketAddr,
     state: Arc<State>,
@@ -135,7 +148,14 @@
         listener.set_nonblocking(true).expect("a listener");
         let born = cold.then(Instant::now);
         let number = STARTED.fetch_add(1, Ordering::SeqCst);
-        let state = State { number, meter, born, cores: Semaphore::new(CORES), arrivals: Mutex::default() };
+        let state = State {
+            number,
+            meter,
+            born,
+            cores: Semaphore::new(CORES),
+            mode: AtomicU8::new(Mode::Well as u8),
+            arrivals: Mutex::default(),
+        };
         let state = Arc::new(state);
         let serving = state.clone();
         let task = on.spawn(async move {
@@ -154,6 +174,15 @@
         Server { address, state, task: task.abort_handle() }
     }
 
+    pub fn set(&self, mode: Mode) {
+        self.state.mode.store(mode as u8, Ordering::SeqCst);
+    }
+
+    /// Requests that came since then.
+    pub fn came_since(&self, since: Instant) -> usize {
+        self.state.arrivals.lock().expect("arrivals").iter().rev().take_while(|(at, _)| *at >= since).count()
+    }
+
     /// Its process dies: connections are reset, new ones refused.
     pub fn kill(&self) {
         self.task.abort();
@@ -237,6 +266,15 @@
             .meter
             .as_ref()
             .map_or(String::new(), |meter| meter.note(&id, state.number, path.starts_with("/top-up")));
+        let mode = state.mode.load(Ordering::SeqCst);
+        if mode == Mode::Failing as u8 {
+            let answer = format!("HTTP/1.1 500 Internal Server Error\r\n{told}Content-Length: 0\r\n\r\n");
+            if stream.write_all(answer.as_bytes()).await.is_err() {
+                return;
+            }
+            continue;
+        }
+        let work = if mode == Mode::Slow as u8 { work * 10 } else { work };
         let Ok(core) = state.cores.acquire().await else { return };
         sleep(work.div_f64(warmth(state.born, Instant::now()))).await;
         drop(core);
--- a/crates/members/src/driver.rs
+++ b/crates/members/src/driver.rs
@@ -61,6 +61,16 @@
         self.fleet.borrow_mut().set_fact(self.now(), name, value);
     }
 
+    /// The same, found out at that time.
+    pub fn set_fact_of(&self, at: u64, name: &str, value: f64) {
+        self.fleet.borrow_mut().set_fact(at, name, value);
+    }
+
+    /// It is told no more.
+    pub fn clear_fact(&self, name: &str) {
+        self.fleet.borrow_mut().clear_fact(name);
+    }
+
     pub fn set_phase(&self, phase: Phase) {
         self.fleet.borrow_mut().set_phase(self.now(), phase);
     }
--- a/crates/members/src/facts.rs
+++ b/crates/members/src/facts.rs
@@ -35,6 +35,18 @@
         true
     }
 
+    /// It is told no more.
+    pub fn clear(&mut self, name: &str) {
+        if self.all.remove(name).is_some() {
+            self.version += 1;
+        }
+    }
+
+    /// All figures: name, value, and when it was found out.
+    pub fn all(&self) -> impl Iterator<Item = (&str, f64, u64)> + '_ {
+        self.all.iter().map(|(name, (value, at))| (name.as_str(), *value, *at))
+    }
+
     pub fn told(&self, now: u64) -> Vec<Fact> {
         let age = |at: u64| u32::try_from(now.saturating_sub(at) / 1_000).unwrap_or(u32::MAX);
         let fact = |(name, (value, at)): (&String, &(f64, u64))| Fact {
@@ -83,6 +95,10 @@
         let set = (0..100).filter(|n| facts.set(1, &format!("f{n}"), 1.0)).count();
         assert_eq!(set, MOST);
         assert!(!facts.set(1, "f1", f64::NAN) && facts.set(1, "f1", 2.0));
+        let version = facts.version;
+        facts.clear("f1");
+        facts.clear("f1");
+        assert!(facts.get("f1").is_none() && facts.version == version + 1 && facts.set(1, "g", 1.0));
         let mut other = Facts::default();
         let many = (0..100).map(|n| Fact { name: format!("f{n}"), value: 1.0, age_ms: 0 }).collect();
         other.take(1, 5, many);
--- a/crates/members/src/fleet.rs
+++ b/crates/members/src/fleet.rs
@@ -261,6 +261,15 @@
         self.facts.set(now, name, value)
     }
 
+    pub fn clear_fact(&mut self, name: &str) {
+        self.facts.clear(name);
+    }
+
+    /// All of another member's figures: name, value, and when each was found out, by this member's clock; its version of them.
+    pub fn facts(&self, member: &str) -> Option<&Facts> {
+        Some(&self.peers.get(member)?.facts)
+    }
+
     /// A member's figures, and when each was found out, by this member's clock.
     pub fn fact(&self, member: &str, name: &str) -> Option<(f64, u64)> {
         match member == self.plan.name {
--- a/crates/turndeck/src/fleet.rs
+++ b/crates/turndeck/src/fleet.rs
@@ -4,7 +4,10 @@
 use crate::customer::RATE_TAU_US;
 use crate::decayed::Decayed;
 use crate::interface::*;
+use crate::seen::Words;
 use crate::server::{Server, Zones};
+use crate::subset::Subset;
+use frosthatch_choices::signals::{Common, Word, BAD, ENDS_US, MOST_WORDS, WELL};
 use std::collections::BTreeMap;
 use std::sync::Arc;
 
@@ -12,6 +15,7 @@
 const UNREACHABLE_WEIGHT: f64 = 0.8; // weight of a failed connection: nobody is there
 const FORGET_US: f64 = 4_000_000.0; // µs; what is thought of a silent server halves in this, or later:
 const FORGET_VISITS: f64 = 2.0; // ...only after as long as this many sends to each server take from here
+const WELL_US: Micros = 2_000_000; // µs; that a server is well is told for so long after it was seen
 const TOTALS_US: Micros = 50_000; // µs; sums over so many servers are kept this long: short beside an interval
 
 /// Sums over the servers, as of a time.
@@ -29,20 +33,22 @@
     pub names: Arc<[ServerId]>,
     /// This gateway's part of the ready servers; 1: it uses all.
     pub part: f64,
-    most: usize, // looked at
+    pub subset: Subset,
+    /// What gateways say of servers in trouble.
+    pub common: Common,
     totals: Totals,
     pub zones: Zones,
     sends: Decayed,
 }
 
 impl Fleet {
-    /// Of so many at most all are looked at, again and again.
-    pub fn new(most: usize) -> Self {
+    pub fn new(subset: Subset) -> Self {
         Fleet {
+            subset,
+            common: Common::default(),
             servers: BTreeMap::new(),
             names: Arc::default(),
             part: 1.0,
-            most,
             totals: Totals::default(),
             zones: Zones::default(),
             sends: Decayed::default(),
@@ -78,42 +84,53 @@
         }
     }
 
-    /// News of the list. `chance`: part of a send that a new one is taken to have saved up; `subset`: the ready ones that
-    /// this gateway uses, if not all.
+    /// News of the list. `chance`: part of a send that a new one is taken to have saved up.
     pub fn list(
         &mut self,
         kind: ListKind,
         entries: Vec<ServerEntry>,
-        cold: &ColdStart,
         now: Micros,
         mut chance: impl FnMut() -> f64,
-        subset: impl FnOnce(&[ServerId]) -> Option<Vec<ServerId>>,
     ) {
         if matches!(kind, ListKind::Complete | ListKind::Persisted) {
             self.servers.values_mut().for_each(|s| s.health = Health::Removed);
         }
         for e in entries {
+            let key = frosthatch_choices::key(&e.server.0);
             let s = self.servers.entry(e.server).or_default();
             if s.slowness == 0.0 || s.started != e.started_us {
                 // New, or a restarted process: what was known of the old one is void.
                 let credit = (chance(), now);
                 *s = Server { slowness: 1.0, judged_at: now, credit, out: s.out, ..Server::default() };
             }
+            s.key = key;
             (s.group, s.started, s.health, s.pool) = ((e.zone, e.cell), e.started_us, e.health, e.pool);
             s.share = if e.share.is_finite() && e.share > 0.0 { e.share } else { 1.0 };
         }
         self.servers.retain(|_, s| s.health != Health::Removed || s.out > 0);
+        self.zones.keep(|zone| self.servers.values().any(|s| s.group.0 == zone));
+    }
+
+    /// Servers or gateways are others than before: which servers are used from here. `size`: how many each of so many gateways uses of
+    /// so many servers, if not all; of `most` at most all are looked at, again and again.
+    pub fn deal(
+        &mut self,
+        cold: &ColdStart,
+        now: Micros,
+        size: impl Fn(usize, usize) -> Option<usize>,
+        most: usize,
+    ) {
         let ready = self.servers.iter().filter(|(_, s)| s.health == Health::Ready);
-        let ready: Vec<ServerId> = ready.map(|(name, _)| name.clone()).collect();
-        let subset = subset(&ready);
+        let ready: Vec<(&ServerId, &Server)> = ready.collect();
+        let size = size(self.subset.gateways(), ready.len());
+        let subset = self.subset.of(&ready, size);
         self.part = subset.as_ref().map_or(1.0, |s| s.len() as f64 / ready.len() as f64);
         self.names = match subset {
             Some(subset) => subset.into(),
-            None if ready.len() <= self.most => Arc::default(),
-            None => ready.into(),
+            None if ready.len() <= most => Arc::default(),
+            None => ready.into_iter().map(|(name, _)| name.clone()).collect(),
         };
         self.totals = self.sum_up(cold, now);
-        self.zones.keep(|zone| self.servers.values().any(|s| s.group.0 == zone));
     }
 
     /// An attempt goes out, by one of the sends that were saved up: to which group of servers.
@@ -155,6 +172,10 @@
             Status::NoAnswer | Status::CalledOff | Status::NotSent => (s.slowness, s.errors, 0.0),
             _ => (s.slowness, 1.0, ANSWER_WEIGHT),
         };
+        // Tried in its turn and well: what was thought of it is past.
+        if failed == 0.0 && weight > 0.0 && self.common.out(s.key) {
+            s.errors = 0.0;
+        }
         let zone = self.zones.at(now).errors(&s.group.0);
         s.judge(now, forget_us, weight, slow, failed, zone);
         if weight > 0.0 && zones {
@@ -162,10 +183,58 @@
         }
     }
 
+    /// What this gateway says of servers: those in trouble, and those that somebody says are and that are well as seen from here. How many
+    /// it uses; key, part that failed, and when that was found out.
+    pub fn words(&self, now: Micros) -> Words {
+        let fresh = |s: &&Server| s.judged_at > s.started && s.judged_at + ENDS_US > now;
+        let word = |s: &Server| (s.key, s.trouble(), s.judged_at);
+        let tells = |w: &(u64, f64, Micros)| {
+            w.1 > BAD || w.1 < WELL && w.2 + WELL_US > now && self.common.accused(w.0, now)
+        };
+        let used = self.ready().count() as f64 * self.part;
+        let mut of: Vec<_> = self.ready().filter(fresh).map(word).filter(tells).collect();
+        // Of more the latest.
+        of.sort_by_key(|w| std::cmp::Reverse(w.2));
+        of.truncate(MOST_WORDS);
+        Words { uses: used.round() as usize, of }
+    }
+
+    /// Other gateways are there.
+    pub fn among(&mut self, gateways: &[u32]) {
+        self.subset.among(gateways);
+        self.common.keep(|from| gateways.iter().any(|g| u64::from(*g) == from));
+    }
+
+    /// All that another gateway says.
+    pub fn hear(&mut self, from: u32, words: Words, now: Micros) {
+        let word = |(server, errors, at)| (server, Word { errors, at });
+        self.common.hear(u64::from(from), words.uses, words.of.into_iter().map(word));
+        self.settle(now);
+    }
+
+    /// Words have come, or time has gone by.
+    pub fn settle(&mut self, now: Micros) {
+        let (me, mine) = (self.subset.me(), self.words(now));
+        if !(mine.of.is_empty() && self.common.quiet()) {
+            let word = |(server, errors, at)| (server, Word { errors, at });
+            self.common.hear(me, mine.uses, mine.of.into_iter().map(word));
+        }
+        let (subset, servers) = (&self.subset, &self.servers);
+        let of = |key: u64| {
+            let s = servers.values().find(|s| s.key == key)?;
+            Some((s.started, subset.users(key).len()))
+        };
+        self.common.settle(now, of);
+    }
+
+    /// More failed there than not.
+    pub fn is_bad(&self, s: &Server, now: Micros) -> bool {
+        self.common.out(s.key)
+            || s.thought(now, self.forget_us(now), self.zones.at(now).errors(&s.group.0)).1 > 0.5
+    }
+
     /// Ready servers of which more failed than not.
     pub fn avoided(&self, now: Micros) -> usize {
-        let forget_us = self.forget_us(now);
-        let zones = self.zones.at(now);
-        self.ready().filter(|s| s.thought(now, forget_us, zones.errors(&s.group.0)).1 > 0.5).count()
+        self.ready().filter(|s| self.is_bad(s, now)).count()
     }
 }
--- a/crates/turndeck/src/interface.rs
+++ b/crates/turndeck/src/interface.rs
@@ -518,6 +518,15 @@
         /// Customers and units of before the time from which a gateway is heard: nobody knows how much of it is old.
         past: Vec<(u32, f64)>,
     },
+    /// The gateways that are there, by number, in place of all that the settings count: servers are dealt out among them.
+    Gateways(Vec<u32>),
+    /// All that another gateway says of servers, in place of what it said before.
+    Words {
+        /// Its number.
+        from: u32,
+        /// What it says.
+        words: crate::seen::Words,
+    },
     /// All gateways of which is known that nothing comes through them: they left, or never were there.
     Absent(Vec<u32>),
     /// From now on other terms are in force. What customers used carries over, and for a moment the smaller of both holds.
--- a/crates/turndeck/src/lib.rs
+++ b/crates/turndeck/src/lib.rs
@@ -38,6 +38,7 @@
 mod customer;
 mod decayed;
 mod fleet;
+mod gateway;
 mod gossip;
 mod interface;
 mod latency;
@@ -47,11 +48,13 @@
 mod places;
 mod policy;
 mod request;
+mod seen;
 mod server;
 mod shares;
 mod subset;
 
 pub use boot::BootInfo;
 
+pub use gateway::Gateway;
 pub use interface::*;
-pub use policy::Gateway;
+pub use seen::Words;
--- a/crates/turndeck/src/policy/asks.rs
+++ b/crates/turndeck/src/policy/asks.rs
@@ -4,10 +4,11 @@
 //! use stays untold.
 
 use super::quota::LENT_US;
-use super::{chance, Gateway, MARGIN_US};
+use super::{chance, MARGIN_US};
 use crate::count::Call;
 use crate::customer::{Customer, RATE_TAU_US};
 use crate::decayed::Decayed;
+use crate::gateway::{Cell, Gateway};
 use crate::gossip::{self, CellNews, Message};
 use crate::interface::*;
 use rand_pcg::rand_core::RngCore;
@@ -23,7 +24,7 @@
 
 impl Gateway {
     pub(super) fn tell_news(&mut self, out: &mut Vec<Action>) {
-        let cell = |c: &super::Cell| CellNews { fraction: c.fraction, admitted: c.admitted_rate };
+        let cell = |c: &Cell| CellNews { fraction: c.fraction, admitted: c.admitted_rate };
         let bytes = gossip::encode(&Message::News(self.cells.iter().map(cell).collect()), MESSAGE_BYTES);
         let others = if self.set.peer_messages { self.set.gateways - 1 } else { 0 };
         let first = self.rng.next_u32() % others.max(1);
--- a/crates/turndeck/src/policy/attempts.rs
+++ b/crates/turndeck/src/policy/attempts.rs
@@ -3,7 +3,8 @@
 //! Guards: no request is lost or answered twice, no effect happens twice, and further attempts stay a small share of load.
 
 use super::quota::earns_beyond;
-use super::{chance, Gateway, MARGIN_US};
+use super::{chance, MARGIN_US};
+use crate::gateway::Gateway;
 use crate::gossip;
 use crate::interface::*;
 use crate::ledger::Evidence;
--- a/crates/turndeck/src/policy/choice.rs
+++ b/crates/turndeck/src/policy/choice.rs
@@ -3,11 +3,12 @@
 //! Guards: a cold server is not pushed over, a bad one is left alone until it may be well again, nothing goes to one that
 //! drains, and many gateways do not begin with the same.
 
-use super::{chance, Gateway};
+use super::chance;
 use crate::calls::FEW;
+use crate::gateway::Gateway;
 use crate::interface::*;
 use crate::server::Server;
-use crate::subset;
+use frosthatch_choices::{subset::Size, turns};
 use rand_pcg::rand_core::RngCore;
 
 const CHANCE: f64 = 1.5; // slowness up to this is chance: work differs more than servers do
@@ -15,16 +16,19 @@
 const ERROR_COST: f64 = 10.0; // times dearer is a server that fails everything
 const COLD_SHARE: f64 = 0.5; // of the cold budget of one core that this gateway lets itself use
 const COLD_GAIN: f64 = 2.0; // times what servers of its size and warmth were seen to do, it gets at most
-const SUBSET: usize = 10; // servers that one of many gateways uses at least: each is met again within about a second
-pub(super) const LOOKED_AT: usize = 64; // servers compared for a request: of more, so many drawn by chance are as good as all
-
-/// The ready servers that this gateway uses; none: all of them. One of many meets each of a few often enough to know it,
-/// and keeps its connections.
-pub(super) fn subset(set: &Settings, ready: &[ServerId]) -> Option<Vec<ServerId>> {
-    (set.gateways > FEW).then(|| subset::of(set.me, set.gateways, SUBSET, ready)).flatten()
-}
+                            // Servers that one of many gateways uses: each is met again within about a second, and each is used by a few.
+const SUBSET: Size = Size { least: 7, users: 3 };
+const TURN_US: Micros = 4_000_000; // µs; one of its users tries a server that is left alone in each: shorter than words last
+const LOOKED_AT: usize = 64; // servers compared for a request: of more, so many drawn by chance are as good as all
 
 impl Gateway {
+    /// Which of the ready servers this gateway uses. One of many meets each of a few often enough to know it, and keeps its
+    /// connections.
+    pub(super) fn deal(&mut self) {
+        let size = |gateways, ready| SUBSET.of(gateways, ready).filter(|_| gateways > FEW as usize);
+        self.fleet.deal(&self.set.cold, self.now, size, LOOKED_AT);
+    }
+
     /// Sends left in this gateway's part of a cold server's budget, saved up from a part drawn by chance, so
     /// that many take turns: a multiple of what servers were seen to do, or a share of one core's work. Both go by
     /// idle servers: a fleet that grows slow must not give its cold ones less.
@@ -56,9 +60,14 @@
         let names = self.fleet.names.clone();
         if self.fleet.part < 1.0 {
             let chosen = self.cheapest(id, Some(&names));
-            // A repeat may find only those there that had it before: then others of its cell are better.
+            // A repeat may find only those there that had it before, any only bad ones: then others are better.
             let new = |(server, _): &(ServerId, f64)| {
                 self.requests.get(&id).is_some_and(|p| p.attempts.iter().all(|a| a.server != *server))
+                    && !self
+                        .fleet
+                        .servers
+                        .get(server)
+                        .is_some_and(|s| self.fleet.is_bad(s, self.now) && !self.tries(s))
             };
             if chosen.as_ref().is_some_and(new) {
                 return chosen;
@@ -76,6 +85,13 @@
         self.cheapest(id, None)
     }
 
+    /// Whether it is this gateway's turn to try a server that all leave alone, and it has not yet.
+    fn tries(&self, s: &Server) -> bool {
+        let users = self.fleet.subset.users(s.key).into_iter();
+        let turn = turns::holds(self.fleet.subset.me(), s.key, users, self.now, TURN_US);
+        turn && s.out == 0 && s.judged_at < self.now - self.now % TURN_US
+    }
+
     /// The cheapest of some, or of all.
     fn cheapest(&mut self, id: RequestId, of: Option<&[ServerId]>) -> Option<(ServerId, f64)> {
         let (p, now, cold) = (self.requests.get(&id)?, self.now, &self.set.cold);
@@ -94,7 +110,11 @@
             if s.health != Health::Ready || s.pool != p.pool || !p.may_send(&self.set, s, now) || room < 1.0 {
                 continue;
             }
-            let (slowness, errors) = s.thought(now, forget_us, zones.errors(&s.group.0));
+            let (slowness, errors) = match self.fleet.common.out(s.key) {
+                true if self.tries(s) => (1.0, 0.0),
+                true => (CHANCE, 1.0),
+                false => s.thought(now, forget_us, zones.errors(&s.group.0)),
+            };
             // Chance, more the less is seen from here, keeps many gateways from beginning with one server.
             let held = f64::from(s.out) + 1.0 - unseen.max(CHOICE_CHANCE) * chance(&mut self.rng);
             // A cold one looks dear as long as any other is idle: it has its even share all the same, and grows warm.
--- a/crates/turndeck/src/policy/fractions.rs
+++ b/crates/turndeck/src/policy/fractions.rs
@@ -2,9 +2,10 @@
 //! latencies and arrivals, and between two intervals what is out or how long attempts take.
 //! Guards: queues stay within the aims, and what is worth least for its work goes first.
 
-use super::{chance, Gateway, INTERVAL_S};
+use super::{chance, INTERVAL_S};
 use crate::calls::FEW;
 use crate::customer::Quota;
+use crate::gateway::{Cell, Gateway};
 
 const STEP: f64 = 0.1; // grid of the fractions (the paper's)
 const BOUND: f64 = 0.5; // of the aim: a mean at the aim itself has half the answers late
@@ -13,15 +14,6 @@
 const STRAIN_MOST: f64 = 0.9; // refused at most: some must tell when it is over
 const CHEAP: f64 = 0.5; // of the bound that a class worth nothing for its work may fill
 
-/// A class of one plan: what the paper calls a service.
-#[derive(Clone, Default)]
-pub(super) struct Cell {
-    pub fraction: f64,
-    pub arrivals: f64,
-    pub admitted: f64,
-    pub admitted_rate: f64, // admitted a second in the last interval, as peers are told
-}
-
 impl Gateway {
     pub(super) fn bound(&self, class: usize) -> f64 {
         self.set.classes[class].aim_us as f64 * BOUND
--- a/crates/turndeck/src/policy/quota.rs
+++ b/crates/turndeck/src/policy/quota.rs
@@ -3,8 +3,9 @@
 //! chance. Each answers in one form, a [`Word`].
 //! Guards: no gateway, or fleet of them, passes on more than the quota pays for, and none draws past its slice of a ceiling.
 
-use super::{chance, Gateway, CUSTOMERS_MAX, IDLE_US};
+use super::{chance, CUSTOMERS_MAX, IDLE_US};
 use crate::customer::{Customer, Quota, RATE_TAU_US};
+use crate::gateway::Gateway;
 use crate::interface::*;
 
 const QUOTA_MOST: f64 = 1.1; // times the quota that a count may let pass: it is put right from a tenth above it
--- a/crates/turndeck/src/policy/terms.rs
+++ b/crates/turndeck/src/policy/terms.rs
@@ -2,9 +2,9 @@
 //! Guards: over a change of terms nobody passes more than the smaller of both allows, and none is let in while it is not
 //! known which hold.
 
-use super::Gateway;
 use crate::calls::FEW;
 use crate::customer::Quota;
+use crate::gateway::Gateway;
 use crate::interface::*;
 
 const WINDOW_US: Micros = 250_000; // µs; others may still, or already, serve under the other terms
--- a/crates/turndeck/src/server.rs
+++ b/crates/turndeck/src/server.rs
@@ -9,6 +9,8 @@
     /// Zone and cell.
     pub group: (String, u64),
     pub share: f64,
+    /// Of its name, as all gateways have it.
+    pub key: u64,
     pub started: Micros,
     pub health: Health,
     pub pool: u8,
@@ -39,6 +41,12 @@
         (1.0 + (self.slowness - 1.0) * keep, zone + (self.errors - zone) * well)
     }
 
+    /// What the others are told: the part that failed of what was sent there from here when it was judged last, or as much for its
+    /// slowness.
+    pub fn trouble(&self) -> f64 {
+        self.errors.max(1.0 - USUAL / self.slowness.max(USUAL))
+    }
+
     /// Another outcome, with its weight beside all before it.
     pub fn judge(&mut self, now: Micros, forget_us: f64, weight: f64, slow: f64, failed: f64, zone: f64) {
         let (was_slow, errors) = self.thought(now, forget_us, zone);
@@ -48,6 +56,8 @@
     }
 }
 
+/// Times the usual that no server is told of for.
+const USUAL: f64 = 4.0;
 /// That a server is well is half forgotten in this while its zone is not.
 const WELL_US: f64 = 300_000.0;
 /// Weight of one outcome in what is thought of a zone: about the last five.
--- a/crates/turndeck/src/subset.rs
+++ b/crates/turndeck/src/subset.rs
@@ -1,107 +1,72 @@
-//! Which part of a large fleet of servers a gateway uses: deterministic and even, and little moved as long as the number of
-//! gateways a round stays.
-//!
-//! Gateways are dealt out in rounds. Each round puts all servers in an order of its own, by hash, and its gateways take one
-//! stretch of it each: so a round uses every server once, and whatever the number of gateways no server is in more subsets
-//! than another but for the last round's. A server that comes or goes shifts the others by one place: each gateway of a
-//! round changes one server at the most. Where the number of ready servers passes a multiple of the least of a subset there
-//! are more or fewer gateways a round, and all is dealt out anew.
-//!
-//! Weighed: *rendezvous hashing* of each gateway by itself moves least, but a server is in as many subsets as chance will
-//! have it (a sixth more or less of 30); *an aperture* on a ring needs weights told between gateways to be even.
+//! The part of a large fleet of servers that this gateway uses, as it is dealt out among the gateways that there are.
 
-use crate::gossip::tag;
 use crate::interface::ServerId;
+use crate::server::Server;
+use frosthatch_choices::key;
+use frosthatch_choices::subset::{deal, Server as Dealt};
 
-/// Names that differ in their last digits alone get tags in a row: this scatters them (MurmurHash3's finalizer), or a
-/// stretch would be neighbours, of one zone perhaps.
-fn mixed(tag: u32) -> u32 {
-    let h = (tag ^ (tag >> 16)).wrapping_mul(0x85eb_ca6b);
-    let h = (h ^ (h >> 13)).wrapping_mul(0xc2b2_ae35);
-    h ^ (h >> 16)
+/// The gateways by number that servers are dealt out among, and what came of the last deal.
+pub(crate) struct Subset {
+    me: u32,
+    keys: Vec<u64>,
+    servers: Vec<Dealt>,
+    dealt: Vec<Vec<u32>>,
+    size: usize,
 }
 
-/// Gateway `me` of `gateways` takes at least `least` of the ready servers; none: it may use all, as there are few.
-pub(crate) fn of(me: u32, gateways: u32, least: usize, ready: &[ServerId]) -> Option<Vec<ServerId>> {
-    // With hardly more servers than one gateway takes, or fewer gateways than it takes to use them all, all are used.
-    let a_round = ready.len() / least.max(1);
-    if a_round < 2 || (gateways as usize) < a_round {
-        return None;
-    }
-    let (round, place) = (me as usize / a_round, me as usize % a_round);
-    let mut order: Vec<(u32, &ServerId)> =
-        ready.iter().map(|s| (mixed(tag(&format!("{round}:{}", s.0))), s)).collect();
-    order.sort_unstable();
-    let edge = |place: usize| place * ready.len() / a_round;
-    Some(order[edge(place)..edge(place + 1)].iter().map(|(_, s)| (*s).clone()).collect())
+fn gateway(number: u32) -> u64 {
+    key(&number.to_string())
 }
 
-#[cfg(test)]
-mod tests {
-    use super::*;
-    use proptest::prelude::*;
-    use std::collections::{BTreeMap, BTreeSet};
-
-    fn servers(n: usize) -> Vec<ServerId> {
-        (0..n).map(|n| ServerId(format!("10.0.{}.{}:80", n / 250, n % 250).into())).collect()
+impl Subset {
+    pub fn new(me: u32, gateways: u32) -> Self {
+        let keys = (0..gateways).map(gateway).collect();
+        Subset { me, keys, servers: Vec::new(), dealt: Vec::new(), size: 0 }
     }
 
-    fn uses(gateways: u32, least: usize, ready: &[ServerId]) -> BTreeMap<ServerId, u32> {
-        let mut uses: BTreeMap<ServerId, u32> = ready.iter().map(|s| (s.clone(), 0)).collect();
-        for me in 0..gateways {
-            let some = of(me, gateways, least, ready).expect("a subset");
-            assert!(some.len() >= least && some.len() < 2 * least, "{}", some.len());
-            some.into_iter().for_each(|s| *uses.get_mut(&s).expect("a ready one") += 1);
-        }
-        uses
+    /// This gateway among them.
+    pub fn me(&self) -> u64 {
+        gateway(self.me)
     }
 
-    proptest! {
-        /// However many there are, no server is used by more than one gateway more than another.
-        #[test]
-        fn every_server_is_in_as_many_subsets_as_any_other(gateways in 100u32..400, n in 50usize..500, least in 8usize..25) {
-            let uses = uses(gateways, least, &servers(n));
-            let (fewest, most) = (uses.values().min(), uses.values().max());
-            prop_assert!(most.zip(fewest).is_some_and(|(m, f)| m - f <= 1), "{:?} to {:?}", fewest, most);
-        }
-
-        /// One that comes or goes changes one other server of a gateway at the most.
-        #[test]
-        fn a_server_that_goes_moves_little(me in 0u32..300, gone in 0usize..200) {
-            let all = servers(200);
-            let less: Vec<ServerId> = all.iter().enumerate().filter(|(n, _)| *n != gone).map(|(_, s)| s.clone()).collect();
-            let before: BTreeSet<ServerId> = of(me, 300, 20, &all).expect("a subset").into_iter().collect();
-            // As many gateways a round as before, or all is dealt out anew.
-            let after: BTreeSet<ServerId> = of(me, 300, 19, &less).expect("a subset").into_iter().collect();
-            prop_assert!(before.difference(&after).count() <= 2, "{:?}", before.difference(&after).collect::<Vec<_>>());
+    /// Other gateways are there. This one counts itself always: whoever does not hear of it still has it serve.
+    pub fn among(&mut self, gateways: &[u32]) {
+        self.keys = gateways.iter().copied().map(gateway).collect();
+        let me = self.me();
+        if !self.keys.contains(&me) {
+            self.keys.push(me);
         }
+        self.size = 0;
     }
 
-    #[test]
-    fn gateways_next_to_each_other_share_few_servers() {
-        let all = servers(200);
-        let of = |me| of(me, 300, 20, &all).expect("a subset").into_iter().collect::<BTreeSet<_>>();
-        let most = (0..299).map(|me| of(me).intersection(&of(me + 1)).count()).max();
-        assert!(most <= Some(8), "{most:?} of 20 in common");
+    pub fn gateways(&self) -> usize {
+        self.keys.len()
     }
 
-    /// Neighbours by name are no neighbours in a subset: it has servers of both halves, as of two zones.
-    #[test]
-    fn a_subset_is_drawn_from_all_of_the_names() {
-        let all = servers(60);
-        let first_half = |me| {
-            let some = of(me, 300, 10, &all).expect("a subset");
-            some.iter().filter(|s| all[..30].contains(s)).count()
+    /// Those of the ready servers that this gateway uses, in a subset of so many; none: all. What has not changed is not dealt anew.
+    pub fn of(&mut self, ready: &[(&ServerId, &Server)], size: Option<usize>) -> Option<Vec<ServerId>> {
+        let Some(size) = size else {
+            (self.size, self.dealt) = (0, Vec::new());
+            return None;
         };
-        let lopsided = (0..300).filter(|me| !(2..=8).contains(&first_half(*me))).count();
-        // By chance 2% have fewer than two of either half.
-        assert!(lopsided <= 15, "{lopsided} of 300");
+        let dealt =
+            |(_, s): &(&ServerId, &Server)| Dealt { key: s.key, weight: s.share, zone: key(&s.group.0) };
+        let servers: Vec<Dealt> = ready.iter().map(dealt).collect();
+        if size != self.size || servers != self.servers {
+            self.dealt = deal(&self.keys, &servers, size);
+            (self.size, self.servers) = (size, servers);
+        }
+        let mine = self.keys.iter().position(|k| *k == self.me()).and_then(|n| self.dealt.get(n))?;
+        Some(mine.iter().map(|n| ready[*n as usize].0.clone()).collect())
     }
 
-    #[test]
-    fn of_few_servers_or_by_few_gateways_all_are_used() {
-        assert!(of(0, 300, 20, &servers(39)).is_none());
-        assert!(of(0, 3, 20, &servers(200)).is_none());
-        assert!(of(0, 300, 20, &[]).is_none());
+    /// The gateways that use a server.
+    pub fn users(&self, server: u64) -> Vec<u64> {
+        let place = self.servers.iter().position(|s| s.key == server).map(|n| n as u32);
+        let uses = |some: &&Vec<u32>| place.is_some_and(|place| some.contains(&place));
+        match self.size {
+            0 => self.keys.clone(),
+            _ => self.keys.iter().zip(&self.dealt).filter(|(_, some)| uses(some)).map(|(k, _)| *k).collect(),
+        }
     }
 }
--- a/crates/turndeck/tests/common/mod.rs
+++ b/crates/turndeck/tests/common/mod.rs
@@ -60,7 +60,19 @@
         after: Micros,
     ) -> Vec<Action> {
         self.now += after;
-        let mut o = Outcome::new(id, attempt, server.clone(), status, after);
+        self.end(id, attempt, server, status, after)
+    }
+
+    /// An attempt ends that took so long, now.
+    pub fn end(
+        &mut self,
+        id: RequestId,
+        attempt: u32,
+        server: &ServerId,
+        status: Status,
+        took: Micros,
+    ) -> Vec<Action> {
+        let mut o = Outcome::new(id, attempt, server.clone(), status, took);
         o.closed = status == Status::Served;
         self.tell(Event::Outcome(o))
     }
--- a/crates/turndeck/tests/subsets.rs
+++ b/crates/turndeck/tests/subsets.rs
@@ -29,11 +29,11 @@
 #[test]
 fn one_of_many_gateways_uses_few_of_many_servers_and_all_use_all() {
     let mut all = BTreeSet::new();
-    for me in 0..40 {
+    for me in 0..GATEWAYS {
         let mut rig = one(me, |_| {});
         rig.list(ListKind::Complete, (0..SERVERS).map(entry).collect());
         let some = used(&mut rig, 100);
-        assert!((10..20).contains(&some.len()), "{} servers", some.len());
+        assert_eq!(some.len(), 7);
         all.extend(some);
     }
     assert_eq!(all.len(), SERVERS);
@@ -50,7 +50,7 @@
     rig.list(ListKind::Partial, entries.collect());
     let after = used(&mut rig, 200);
     assert!(before.is_disjoint(&after), "{:?}", before.intersection(&after).collect::<Vec<_>>());
-    assert!(after.len() >= 10, "{}", after.len());
+    assert_eq!(after.len(), 7);
 }
 
 /// A repeat may go only to the cell that drops it, of which the part may hold no other server.
@@ -108,3 +108,49 @@
     assert!(most < allowed, "{most} to one of {allowed}");
     assert!(sum > allowed * SERVERS as f64 / 5.0, "{sum}: they are used, so that they grow warm");
 }
+
+/// Where gateways know who is there, those that are left take all servers over; few that are left use all.
+#[test]
+fn those_that_are_left_use_all_servers_between_them() {
+    let (numbers, left): (Vec<u32>, Vec<u32>) = ((0..30).collect(), (0..30).filter(|n| n % 3 > 0).collect());
+    let of = |gateways: &[u32], shown: &[u32]| {
+        let mut all = BTreeSet::new();
+        for me in gateways {
+            let mut rig = one(*me, |s| s.gateways = 30);
+            rig.list(ListKind::Complete, (0..60).map(entry).collect());
+            rig.tell(Event::Gateways(shown.to_vec()));
+            all.extend(used(&mut rig, 400));
+        }
+        all.len()
+    };
+    assert_eq!(of(&numbers, &numbers), 60);
+    assert_eq!(of(&left, &left), 60);
+    // Before they know of it some servers are nobody's.
+    assert!(of(&left[..9], &numbers) < 60);
+    assert_eq!(of(&left[..9], &left[..9]), 60);
+    // One that sees nobody uses all; one that is not in the view that it has counts itself.
+    assert_eq!(of(&[4], &[]), 60);
+    assert_eq!(of(&[4], &left[3..17]), 12);
+}
+
+/// All that a gateway uses fails, and the list does not know: it turns to others, and back when they are well.
+#[test]
+fn when_all_of_its_servers_fail_it_turns_to_others() {
+    let mut rig = one(7, |_| {});
+    rig.list(ListKind::Complete, (0..SERVERS).map(entry).collect());
+    let part = used(&mut rig, 200);
+    let mut served = 0;
+    for _ in 0..200 {
+        rig.now += 50_000;
+        let (id, actions) = rig.request("c");
+        let first = sent(&actions).expect("sent");
+        let bad = part.contains(&first);
+        rig.outcome(id, 0, &first, if bad { Status::NoConnection } else { Status::Served }, 1_000);
+        rig.tell(Event::ClientGone(id));
+        served += usize::from(!bad);
+    }
+    assert!(served > 120, "{served} of 200");
+    used(&mut rig, 600);
+    let after = used(&mut rig, 200);
+    assert!(after.is_subset(&part) && after.len() > 3, "{after:?}");
+}
