--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -3,6 +3,7 @@
 #![forbid(unsafe_code)]
 
 pub mod choices;
+pub mod choices_size;
 pub mod counter_faults;
 pub mod demo;
 pub mod diameter;
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -37,7 +37,7 @@
 type Play = fn(Option<u64>, &mut Figures);
 
 /// The scenarios: name, what each shows, and how it is played.
-const SCENARIOS: [(&str, &str, Play); 13] = [
+const SCENARIOS: [(&str, &str, Play); 14] = [
     ("dns-sd", "500 requests/s while DNS-SD records change, asked for and pushed", dns_sd::play),
     (
         "diameter",
@@ -65,6 +65,11 @@
         "12 gateways that choose among 60 servers: bad ones, gateways gone, cut off and lying",
         choices::play,
     ),
+    (
+        "choices-size",
+        "300 gateways by 200 servers and 64 by 5,000 in virtual time: use, bad servers, deaths, a release",
+        choices_size::play,
+    ),
     (
         "policy",
         "9 gateways, 40 changes of policy by each of five seeds, and what goes wrong meanwhile",
