--- a/crates/frosthatch/src/choices.rs
+++ b/crates/frosthatch/src/choices.rs
@@ -19,13 +19,17 @@
 const OF_SERVER: &str = "s:";
 /// Parts of what failed are told in steps of this, so that chance is no news.
 const STEP: f64 = 0.1;
+const AGAIN_US: u64 = 1_000_000;
+
+/// By name: value, and when it was found out.
+type Figures = BTreeMap<String, (f64, u64)>;
 
 /// Members by whose number servers are dealt out, and what was told and heard so far.
 #[derive(Default)]
 struct Known {
     gateways: Vec<u32>,
     heard: BTreeMap<String, u64>,
-    told: BTreeMap<String, (f64, u64)>,
+    told: Figures,
 }
 
 /// Numbers of the ready members.
@@ -51,7 +55,7 @@
 }
 
 /// The figures that tell it.
-fn figures(words: &Words) -> BTreeMap<String, (f64, u64)> {
+fn figures(words: &Words) -> Figures {
     let step = |errors: f64| (errors / STEP).round() * STEP;
     let of =
         words.of.iter().map(|(key, errors, at)| (format!("{OF_SERVER}{key:016x}"), (step(*errors), *at)));
@@ -87,6 +91,20 @@
         self.heard.retain(|name, _| fleet.facts(name).is_some());
         new
     }
+
+    /// Figures that are told no more, and those to tell now. That a figure stands is told again with the next second.
+    fn tell(&mut self, words: &Words) -> (Vec<String>, Figures) {
+        let figures = figures(words);
+        let (kept, gone) =
+            std::mem::take(&mut self.told).into_iter().partition(|(name, _)| figures.contains_key(name));
+        self.told = kept;
+        let stands = |told: &(f64, u64), is: &(f64, u64)| told.0 == is.0 && is.1 < told.1 + AGAIN_US;
+        let mut new = figures;
+        new.retain(|name, figure| !self.told.get(name).is_some_and(|told| stands(told, figure)));
+        self.told.extend(new.iter().map(|(name, figure)| (name.clone(), *figure)));
+        let gone: Figures = gone;
+        (gone.into_keys().collect(), new)
+    }
 }
 
 /// For good.
@@ -101,24 +119,11 @@
         for (from, words) in member.with(|f| known.said(f)) {
             engine.said(from, words);
         }
-        let figures = figures(&engine.words());
-        for name in known.told.keys().filter(|name| !figures.contains_key(*name)) {
-            member.clear_fact(name);
-        }
-        for (name, (value, at)) in &figures {
-            // That it goes on is told with the next second.
-            let same = |t: &(f64, u64)| t.0 == *value && at.saturating_sub(t.1) < 1_000_000;
-            if !known.told.get(name).is_some_and(same) {
-                member.set_fact_of(*at, name, *value);
-            }
+        let (gone, new) = known.tell(&engine.words());
+        gone.iter().for_each(|name| member.clear_fact(name));
+        for (name, (value, at)) in new {
+            member.set_fact_of(at, &name, value);
         }
-        let kept = |(name, figure): (String, (f64, u64))| {
-            let told =
-                known.told.get(&name).filter(|t| t.0 == figure.0 && figure.1.saturating_sub(t.1) < 1_000_000);
-            let told = told.copied().unwrap_or(figure);
-            (name, told)
-        };
-        known.told = figures.into_iter().map(kept).collect();
     }
 }
 
@@ -126,6 +131,18 @@
 mod tests {
     use super::*;
 
+    #[test]
+    fn only_what_is_new_is_told() {
+        let mut known = Known::default();
+        let says = |errors, at| Words { uses: 5, of: vec![(3, errors, at)] };
+        assert_eq!(known.tell(&says(0.5, 7)).1.len(), 2);
+        assert_eq!(known.tell(&says(0.52, 8)), (vec![], Figures::new()));
+        assert_eq!(known.tell(&says(0.5, 7 + AGAIN_US)).1.len(), 1);
+        assert_eq!(known.tell(&says(0.2, 9 + AGAIN_US)).1.into_values().next().map(|f| f.0), Some(0.2));
+        assert_eq!(known.tell(&Words::default()).0.len(), 2);
+        assert_eq!(known.tell(&Words::default()), (vec![], Figures::new()));
+    }
+
     #[test]
     fn what_is_told_is_what_is_heard() {
         let said = Words { uses: 12, of: vec![(3, 0.9, 7), (u64::MAX, 0.04, 9)] };
