Ready members are listed only where the view is another; a second sort dropped

Read again: choices.rs compared all names of the ready members with all members ten times a second on the serving thread, though only another view changes them; subset.rs sorted equal fractions twice; a gateway's own key was hashed at each use. Not mended: subset::of is used by tests alone; a choice works out the zones' errors twice.

--- a/crates/choices/src/subset.rs
+++ b/crates/choices/src/subset.rs
@@ -101,12 +101,7 @@
     let mut rest: Vec<(f64, u64, usize)> =
         (0..servers.len()).map(|n| (rooms[n] as f64 - due[n], drawn(servers[n].key, 0), n)).collect();
     // Equal weights have equal fractions: who gets one more is drawn then.
-    rest.sort_by(|a, b| (a.0 + 1e-9).total_cmp(&(b.0 + 1e-9)).then(a.1.cmp(&b.1)));
-    if let (Some(first), Some(last)) = (rest.first(), rest.last()) {
-        if (last.0 - first.0).abs() < 1e-6 {
-            rest.sort_by_key(|r| r.1);
-        }
-    }
+    rest.sort_by(|a, b| a.0.total_cmp(&b.0).then(a.1.cmp(&b.1)));
     let left = all.saturating_sub(rooms.iter().sum());
     let able: Vec<usize> = rest.iter().map(|r| r.2).filter(|n| rooms[*n] < gateways).take(left).collect();
     able.into_iter().for_each(|n| rooms[n] += 1);
--- a/crates/frosthatch/src/choices.rs
+++ b/crates/frosthatch/src/choices.rs
@@ -28,6 +28,8 @@
 #[derive(Default)]
 struct Known {
     gateways: Vec<u32>,
+    /// Of the view that they are of.
+    digest: Option<u64>,
     heard: BTreeMap<String, u64>,
     told: Figures,
 }
@@ -67,10 +69,18 @@
 impl Known {
     /// What the decisions are to go by from now on, if that is new.
     fn view(&mut self, now: u64, fleet: &Fleet) -> Option<Vec<u32>> {
+        // With hundreds of members the list is made only where it is another.
+        if self.digest == Some(fleet.view().digest) {
+            return None;
+        }
         let ready = ready(fleet);
         let came = ready.iter().any(|g| !self.gateways.contains(g));
         let steady = now.saturating_sub(fleet.view().since) >= STEADY_US;
-        (ready != self.gateways && (steady || !came)).then(|| {
+        if came && !steady {
+            return None;
+        }
+        self.digest = Some(fleet.view().digest);
+        (ready != self.gateways).then(|| {
             self.gateways = ready;
             self.gateways.clone()
         })
--- a/crates/turndeck/src/subset.rs
+++ b/crates/turndeck/src/subset.rs
@@ -7,7 +7,7 @@
 
 /// The gateways by number that servers are dealt out among, and what came of the last deal.
 pub(crate) struct Subset {
-    me: u32,
+    me: u64,
     keys: Vec<u64>,
     servers: Vec<Dealt>,
     dealt: Vec<Vec<u32>>,
@@ -21,20 +21,19 @@
 impl Subset {
     pub fn new(me: u32, gateways: u32) -> Self {
         let keys = (0..gateways).map(gateway).collect();
-        Subset { me, keys, servers: Vec::new(), dealt: Vec::new(), size: 0 }
+        Subset { me: gateway(me), keys, servers: Vec::new(), dealt: Vec::new(), size: 0 }
     }
 
     /// This gateway among them.
     pub fn me(&self) -> u64 {
-        gateway(self.me)
+        self.me
     }
 
     /// Other gateways are there. This one counts itself always: whoever does not hear of it still has it serve.
     pub fn among(&mut self, gateways: &[u32]) {
         self.keys = gateways.iter().copied().map(gateway).collect();
-        let me = self.me();
-        if !self.keys.contains(&me) {
-            self.keys.push(me);
+        if !self.keys.contains(&self.me) {
+            self.keys.push(self.me);
         }
         self.size = 0;
     }
@@ -56,7 +55,7 @@
             self.dealt = deal(&self.keys, &servers, size);
             (self.size, self.servers) = (size, servers);
         }
-        let mine = self.keys.iter().position(|k| *k == self.me()).and_then(|n| self.dealt.get(n))?;
+        let mine = self.keys.iter().position(|k| *k == self.me).and_then(|n| self.dealt.get(n))?;
         Some(mine.iter().map(|n| ready[*n as usize].0.clone()).collect())
     }
 
