Unsafe classes need no key: their requests come as POST without one and are served

At fault: front.rs, head(): "if !safe { text(h, \"Idempotency-Key\")? }" answers 400 to every class that is not repeatable and has no key. Change: a key is owed by keyed classes only; with unsafe ones none is owed or made up, and one that comes goes on unchanged.

--- a/crates/http1/src/front.rs
+++ b/crates/http1/src/front.rs
@@ -453,7 +453,10 @@
         let terms = Terms::parse(text(h, "X-Call-Terms")?, set).ok_or(BadRequest::Header("X-Call-Terms"))?;
         let host = text(h, "Host").unwrap_or("backend.local");
         let mut head = format!("{method} {path} HTTP/1.1\r\nHost: {host}\r\nX-Trace-Id: {trace}\r\n");
-        if !safe {
+        // Clients send a key where servers drop repeats by it, and only there. None is made up: what may not be repeated
+        // stays what it is. One that comes all the same goes on.
+        let keyed = matches!(class.effect, Effect::Keyed { .. });
+        if keyed || !safe && header(h, "Idempotency-Key").is_some() {
             let key = text(h, "Idempotency-Key")?;
             let _ = write!(head, "Idempotency-Key: {key}\r\n");
         }
