Attempts have a latest start, decided with the send and kept at the last moment before it

Shown with real processes, tests/late_starts.rs, by a listener whose queue is full (a connection comes up a second late): - a keyed repeat was written after its window (600 ms, connect 1 s): "twice" was served. Red on. - where the settings bar calling attempts back, what was still connecting was written for a client that had left: close() in attempts.rs tells Cancel only with set.cancel. Red on; with cancelling allowed it was right, as the task ends. Change: Action::Send says begin_within_us: what is left of the time in which the answer is of use, and of the window since the first attempt that may have run. The engine hands it along as Start, which also knows that the request has had its answer or its client has gone; Conn::send asks it with no wait between that and the first write, Diameter before it queues. What may not begin ends as NotSent, which says nothing of the server; drains end so too, where they were called NoConnection. A connection that has something to read before the last byte of a request is not written on any more: that answers nothing.

--- a/crates/diameter/src/servers.rs
+++ b/crates/diameter/src/servers.rs
@@ -5,7 +5,7 @@
 use crate::link::{Budget, Event, Link};
 use crate::overload::{announce, Heeded};
 use crate::peer::{Cause, Identity, Peer, Role};
-use frosthatch_engine::{Attempt, Ended, Fleet, Member, Payload, Protocol, State};
+use frosthatch_engine::{Attempt, Ended, Fleet, Member, Payload, Protocol, Start, State};
 use rand_pcg::rand_core::SeedableRng;
 use rand_pcg::Pcg64Mcg;
 use rustls::pki_types::ServerName;
@@ -253,6 +253,7 @@
         from: &str,
         again: bool,
         deadline: Instant,
+        start: Start,
     ) -> Ended {
         let never = Ended::without_answer(Status::NoConnection);
         let Some(s) = self.servers.borrow().get(id).cloned() else { return never };
@@ -267,6 +268,9 @@
         let hop = link.hop();
         let mut message = forwarded(ccr, from, hop, again);
         announce(&mut message);
+        if !start.may() {
+            return Ended::without_answer(Status::NotSent);
+        }
         let Some(end) = link.send(&message) else { return never };
         let (sender, answer) = oneshot::channel();
         s.pending.borrow_mut().insert(hop, Pending { answer: sender, end });
@@ -356,11 +360,11 @@
 }
 
 impl Payload for Outgoing {
-    fn attempt(&self, server: &ServerId, deadline: Instant) -> Attempt {
+    fn attempt(&self, server: &ServerId, deadline: Instant, start: Start) -> Attempt {
         let (ccr, from, servers) = (self.ccr.clone(), self.from.clone(), self.servers.clone());
         let (by, again, server) = (self.answered_by.clone(), self.again.clone(), server.clone());
         Box::pin(async move {
-            let ended = servers.attempt(&server, &ccr, &from, again.get(), deadline).await;
+            let ended = servers.attempt(&server, &ccr, &from, again.get(), deadline, start).await;
             if ended.status == Status::Served {
                 *by.borrow_mut() = Some(server);
             }
--- a/crates/engine/src/engine.rs
+++ b/crates/engine/src/engine.rs
@@ -26,6 +26,8 @@
 struct Held {
     class: usize,
     answer: Option<oneshot::Sender<Answer>>,
+    /// No answer is owed any more: nothing begins.
+    answered: Rc<Cell<bool>>,
     answer_by: Instant,
     payload: Box<dyn Payload>,
     /// By number; those that ended are none.
@@ -38,6 +40,7 @@
     /// Gives the one final answer; whether it had not been given.
     fn give(&mut self, tally: &Tally, answer: Answer) -> bool {
         let Some(sender) = self.answer.take() else { return false };
+        self.answered.set(true);
         tally.answered(self.class, &answer);
         let _ = sender.send(answer);
         true
@@ -215,6 +218,7 @@
                 Entry::Vacant(place) => place.insert(Held {
                     class: self.tally.class(&request.class),
                     answer: Some(sender),
+                    answered: Rc::default(),
                     answer_by,
                     payload,
                     attempts: Vec::new(),
@@ -232,7 +236,10 @@
     /// The client of a request has gone: what is out for it is called off.
     pub fn client_gone(self: &Rc<Self>, id: RequestId) {
         let open = match self.inner.borrow_mut().held.get_mut(&id) {
-            Some(held) => held.answer.take().is_some(),
+            Some(held) => {
+                held.answered.set(true);
+                held.answer.take().is_some()
+            }
             None => false,
         };
         if open {
@@ -289,7 +296,9 @@
 
     fn carry_out(self: &Rc<Self>, inner: &mut Inner, action: Action) {
         match action {
-            Action::Send { request, server, timeout_us } => self.send(inner, request, server, timeout_us),
+            Action::Send { request, server, timeout_us, begin_within_us } => {
+                self.send(inner, request, server, [timeout_us, begin_within_us])
+            }
             Action::Cancel { request, attempt } => {
                 let held = inner.held.get_mut(&request);
                 let out = held.and_then(|h| h.attempts.get_mut(attempt as usize)).and_then(Option::take);
@@ -344,13 +353,21 @@
         forget(inner, id);
     }
 
-    fn send(self: &Rc<Self>, inner: &mut Inner, id: RequestId, server: ServerId, timeout_us: Micros) {
+    /// Starts an attempt that ends, and may begin, within so much time.
+    fn send(
+        self: &Rc<Self>,
+        inner: &mut Inner,
+        id: RequestId,
+        server: ServerId,
+        [ends, begins]: [Micros; 2],
+    ) {
         let Some(held) = inner.held.get_mut(&id).filter(|h| h.answer.is_some()) else { return };
         let (engine, attempt, since) = (self.clone(), held.attempts.len(), Instant::now());
         if let (0, Some(warrant)) = (attempt, &*self.warrant.borrow()) {
             warrant.let_in(id);
         }
-        let out = held.payload.attempt(&server, since + Duration::from_micros(timeout_us));
+        let start = Start::new(since + Duration::from_micros(begins), held.answered.clone());
+        let out = held.payload.attempt(&server, since + Duration::from_micros(ends), start);
         let task = tokio::task::spawn_local(async move {
             let ended = out.await;
             engine.attempt_ended(id, attempt, ended);
--- /dev/null
+++ b/crates/frosthatch/tests/late_starts.rs
@@ -0,0 +1,88 @@
+//! Attempts whose connections come up late: what may not begin any more does not, whatever was decided before.
+
+mod common;
+use common::*;
+use std::sync::mpsc::{channel, Receiver};
+use std::sync::Mutex;
+use std::thread;
+use std::time::{Duration, Instant};
+
+/// A gateway that waits long for connections, with settings changed as told.
+fn patient(discovery: &Discovery, changes: &[(&str, &str)]) -> Gateway {
+    let mut text = config_text(discovery.address, None, 1, "");
+    for (from, to) in [&[("\"connectTimeoutUs\":1000000", "\"connectTimeoutUs\":6000000")], changes].concat()
+    {
+        assert!(text.contains(from), "{from}");
+        text = text.replace(from, to);
+    }
+    let gateway = Gateway::start_with(&text);
+    gateway.wait_ready();
+    gateway
+}
+
+/// A server that answers an error once it is told to.
+fn held() -> (Server, std::sync::mpsc::Sender<()>) {
+    let (go, gone): (_, Receiver<()>) = channel();
+    let gone = Mutex::new(gone);
+    let server = Server::new(move |_| {
+        let _ = gone.lock().expect("one at a time").recv_timeout(LONG);
+        status("500 Internal Server Error")
+    });
+    (server, go)
+}
+
+/// Turns of the gateway's loop, for longer than a client that has gone may be overlooked.
+fn turns(gateway: &Gateway) {
+    let since = Instant::now();
+    while since.elapsed() < Duration::from_millis(150) {
+        gateway.ready();
+    }
+}
+
+/// Guards against a second effect: servers remember a key for its window, and the connection for the repeat comes up later.
+#[test]
+fn a_keyed_repeat_does_not_begin_after_its_window() {
+    let (first, go) = held();
+    let late = Crowded::new();
+    let discovery = Discovery::new(&target("a", first.address, 3, "Ready"));
+    let gateway = patient(&discovery, &[("\"windowUs\":7500000", "\"windowUs\":600000")]);
+    let mut client = gateway.client();
+    client.send(&Ask::top_up().text());
+    first.request();
+    discovery.tell(false, &target("b", late.address(), 3, "Ready"));
+    let since = Instant::now();
+    let _ = go.send(());
+    // The repeat is on its way now, and waits for its connection.
+    thread::sleep(Duration::from_millis(700));
+    let late = late.open(|_| ok("twice"));
+    let answer = client.answer().expect("an answer");
+    assert!(matches!(answer.status(), 502 | 504), "{answer:?}");
+    assert!(since.elapsed() > Duration::from_millis(500), "the repeat was tried");
+    // Whatever was to come there has come before this one.
+    let ask = Ask::check();
+    discovery.tell(true, &target("b", late.address, 3, "Ready"));
+    assert_eq!(gateway.ask(&ask).status(), 200);
+    assert_eq!(late.request().header("X-Trace-Id"), Some(ask.header("X-Trace-Id")));
+}
+
+/// Guards against work for nobody, also where the settings bar calling attempts back: this one has not begun.
+#[test]
+fn nothing_begins_for_a_client_that_left_while_it_connected() {
+    for cancel in [true, false] {
+        let late = Crowded::new();
+        let discovery = Discovery::new(&target("a", late.address(), 0, "Ready"));
+        let gateway = patient(&discovery, &[("\"cancel\":true", &format!("\"cancel\":{cancel}"))]);
+        let mut client = gateway.client();
+        client.send(&Ask::top_up().text());
+        turns(&gateway);
+        drop(client);
+        turns(&gateway);
+        let late = late.open(|_| ok("served"));
+        if !cancel {
+            late.connected();
+        }
+        let ask = Ask::check();
+        assert_eq!(gateway.ask(&ask).status(), 200);
+        assert_eq!(late.request().header("X-Trace-Id"), Some(ask.header("X-Trace-Id")), "cancel {cancel}");
+    }
+}
--- a/crates/http1/src/backend.rs
+++ b/crates/http1/src/backend.rs
@@ -1,10 +1,10 @@
 //! Attempts at servers, and the pool of connections that they use. A connection carries one request at a time and is
 //! closed as soon as it is dropped: nothing is ever sent again by itself.
 
-use crate::conn::{Answer, Conn, Room, Unread};
+use crate::conn::{Answer, Conn, Room, Sending, Unread};
 use crate::message::BODY_BYTES;
 use crate::staleness::Staleness;
-use frosthatch_engine::{Attempt, Ended, Fleet, Member, Payload, Protocol, State, Tally};
+use frosthatch_engine::{Attempt, Ended, Fleet, Member, Payload, Protocol, Start, State, Tally};
 use std::any::Any;
 use std::cell::{Cell, RefCell};
 use std::collections::{HashMap, HashSet};
@@ -66,9 +66,9 @@
 }
 
 impl Payload for Outgoing {
-    fn attempt(&self, server: &ServerId, deadline: Instant) -> Attempt {
+    fn attempt(&self, server: &ServerId, deadline: Instant, start: Start) -> Attempt {
         let (upstream, forward, server) = (self.upstream.clone(), self.forward.clone(), server.clone());
-        Box::pin(async move { upstream.attempt(&server, &forward, deadline).await })
+        Box::pin(async move { upstream.attempt(&server, &forward, deadline, &start).await })
     }
 }
 
@@ -201,24 +201,43 @@
     }
 
     /// One attempt. Whatever happens, it ends by `deadline`, but for what comes of a long answer after its first bytes.
-    pub async fn attempt(&self, server: &ServerId, forward: &Forward, deadline: Instant) -> Ended {
+    pub async fn attempt(
+        &self,
+        server: &ServerId,
+        forward: &Forward,
+        deadline: Instant,
+        start: &Start,
+    ) -> Ended {
         let never = Ended::without_answer(Status::NoConnection);
         let Some((address, gone)) = self.wanted(server) else { return never };
         let connection = timeout_at(deadline, self.connection(server, address));
         let Ok(Some((conn, slot, idle))) = connection.await else { return never };
-        // While it connected the server may have begun to drain, or moved: nothing new goes there.
-        if self.wanted(server).is_none_or(|(now, _)| now != address) {
-            return never;
-        }
         let head = forward.head(deadline.saturating_duration_since(Instant::now()));
-        let request = [&head[..], &forward.body[..]];
         let length = head.len() + forward.body.len();
-        let written = Cell::new(0);
+        let (written, withheld) = (Cell::new(0), Cell::new(false));
+        // While it connected the server may have begun to drain, or moved: nothing new goes there. Nor does what may not
+        // begin any more; that says nothing of the server.
+        let may = || {
+            let there = self.wanted(server).is_some_and(|(now, _)| now == address);
+            withheld.set(!there || !start.may());
+            !withheld.get()
+        };
+        let whole = || self.tally.attempted(forward.class);
+        let request = [&head[..], &forward.body[..]];
+        let sending = Sending { request, written: &written, may: &may, whole: &whole };
         let begun = Instant::now();
         let answer = tokio::select! {
-            answer = timeout_at(deadline, conn.ask(request, BODY_BYTES, &written, || self.tally.attempted(forward.class))) => answer,
+            answer = timeout_at(deadline, conn.ask(sending, BODY_BYTES)) => answer,
             () = gone.notified() => Ok(Err(io::ErrorKind::ConnectionAborted.into())),
         };
+        if withheld.get() {
+            self.put_back(server, address, conn, slot);
+            return Ended::without_answer(Status::NotSent);
+        }
+        if idle.is_some() && written.get() == 0 && matches!(answer, Ok(Err(_))) {
+            // It went stale in the very moment.
+            return Ended::without_answer(Status::NotSent);
+        }
         if let Some(idle) = idle {
             let lost = matches!(answer, Ok(Err(_))) && begun.elapsed() < Staleness::AT_ONCE;
             self.staleness.borrow_mut().note(idle, lost);
--- a/crates/http1/src/conn.rs
+++ b/crates/http1/src/conn.rs
@@ -134,6 +134,18 @@
     }
 }
 
+/// A request on its way.
+pub struct Sending<'a> {
+    /// Head and body.
+    pub request: [&'a [u8]; 2],
+    /// How much has left, whatever happens.
+    pub written: &'a Cell<usize>,
+    /// Asked at the last moment before the first byte leaves.
+    pub may: &'a dyn Fn() -> bool,
+    /// Called once all of it has left.
+    pub whole: &'a dyn Fn(),
+}
+
 /// One connection of our own making.
 pub struct Conn {
     stream: TcpStream,
@@ -151,26 +163,41 @@
         peek(&self.stream).is_err_and(|e| e.kind() == io::ErrorKind::WouldBlock)
     }
 
-    /// Sends a request and reads its answer: whole, or, where its body is longer than `most`, its beginning. `written`
-    /// tells what has left, `whole` is called once that is all.
-    pub async fn ask(
-        &self,
-        request: [&[u8]; 2],
-        most: usize,
-        written: &Cell<usize>,
-        whole: impl FnOnce(),
-    ) -> io::Result<Answer> {
-        let [head, body] = request;
-        if body.len() <= BODY_BYTES {
-            write_all(&self.stream, &[head, body].concat(), written).await?;
-        } else {
-            write_all(&self.stream, head, written).await?;
-            let beyond = Cell::new(0);
-            let done = write_all(&self.stream, body, &beyond).await;
-            written.set(head.len() + beyond.get());
-            done?;
+    /// Writes all of a request, unless it may not begin or the server speaks before it is whole: then it never was.
+    async fn send(&self, sending: &Sending<'_>) -> io::Result<()> {
+        let [head, body] = sending.request;
+        let joined = if body.len() <= BODY_BYTES { [head, body].concat() } else { Vec::new() };
+        let parts = if joined.is_empty() { [head, body] } else { [&joined[..], b""] };
+        for part in parts {
+            let mut at = 0;
+            while at < part.len() {
+                self.stream.writable().await?;
+                // No wait from here to the write: what held then holds when the first byte leaves.
+                if sending.written.get() == 0 && !(sending.may)() {
+                    return Err(io::ErrorKind::Interrupted.into());
+                }
+                // Guards against an answer to a request before, which would be taken for this one's: nothing that comes
+                // ahead of a request's last byte answers it.
+                if !self.quiet() {
+                    return Err(spoilt("ahead of its request"));
+                }
+                match self.stream.try_write(&part[at..]) {
+                    Err(e) if e.kind() == io::ErrorKind::WouldBlock => {}
+                    Err(e) => return Err(e),
+                    Ok(n) => {
+                        at += n;
+                        sending.written.set(sending.written.get() + n);
+                    }
+                }
+            }
         }
-        whole();
+        Ok(())
+    }
+
+    /// Sends a request and reads its answer: whole, or, where its body is longer than `most`, its beginning.
+    pub async fn ask(&self, sending: Sending<'_>, most: usize) -> io::Result<Answer> {
+        self.send(&sending).await?;
+        (sending.whole)();
         let mut buffer = Vec::new();
         let (mut answer, framing) = self.head(&mut buffer).await?;
         if matches!(framing, Framing::Length(length) if length > BULK_BYTES) {
@@ -267,8 +294,8 @@
         (None, [coding]) if coding.trim().eq_ignore_ascii_case("chunked") => {
             Framing::Chunked(Chunked::default())
         }
-        (None, []) if status == 200 && says_close(h) => Framing::UntilClose,
-        // Neither or both: where it ends cannot be known.
+        (None, []) if status == 200 => Framing::UntilClose,
+        // Both, or another coding: where it ends cannot be known.
         _ => return Err(spoilt("its framing")),
     };
     let answer = Answer {
@@ -277,7 +304,7 @@
         never_ran: header(h, NEVER_RAN) == Some("1"),
         metered_use: header(h, USED).and_then(figure).map(|percent| percent / 100.0),
         report: header(h, LOAD).map_or_else(Vec::new, report),
-        reusable: head.version == Some(1) && !says_close(h),
+        reusable: head.version == Some(1) && !says_close(h) && !matches!(framing, Framing::UntilClose),
         rest: None,
     };
     Ok(Some((Head::Final(answer, framing), end)))
--- a/crates/membership/src/list.rs
+++ b/crates/membership/src/list.rs
@@ -2,7 +2,7 @@
 
 use crate::desk::Desk;
 use frosthatch_engine::{Member, Protocol, State};
-use frosthatch_http1::conn::Conn;
+use frosthatch_http1::conn::{Conn, Sending};
 use serde::{Deserialize, Deserializer};
 use std::cell::Cell;
 use std::fmt;
@@ -160,8 +160,10 @@
         None => Conn::open(address).await.map_err(CallError::Io)?,
     };
     let request = format!("GET {path} HTTP/1.1\r\nHost: {address}\r\n\r\n");
-    let answer =
-        open.ask([request.as_bytes(), b""], LIST_BYTES, &Cell::new(0), || ()).await.map_err(CallError::Io)?;
+    let written = Cell::new(0);
+    let request = [request.as_bytes(), b""];
+    let sending = Sending { request, written: &written, may: &|| true, whole: &|| () };
+    let answer = open.ask(sending, LIST_BYTES).await.map_err(CallError::Io)?;
     if answer.rest.is_some() {
         return Err(CallError::TooLong);
     }
--- a/crates/standins/src/agent.rs
+++ b/crates/standins/src/agent.rs
@@ -13,6 +13,10 @@
     Telling,
     Silent,
     Nonsense,
+    /// Calls that may wait are never answered, others are.
+    DeafToWatches,
+    /// As one that is down: what is called now is never answered, also not later.
+    Down,
 }
 
 struct Told {
@@ -79,17 +83,22 @@
         told.lock().expect("discovery").calls += 1;
         let from =
             message.line.split_once("from=").and_then(|(_, r)| r.split('&').next()?.parse::<u64>().ok());
-        let since = Instant::now();
+        let waits = from.is_some() && !message.line.contains("hold_ms=0 ");
+        let (since, mut lost) = (Instant::now(), false);
         let body = loop {
             let told = told.lock().expect("discovery");
             let news = from.is_none_or(|from| from < told.rev);
             match told.mood {
+                Mood::Down => lost = true,
+                Mood::DeafToWatches if waits => lost = true,
                 Mood::Nonsense => break "{\"rev\":true}".to_string(),
-                Mood::Telling if news => {
+                Mood::Telling | Mood::DeafToWatches if news && !lost => {
                     let all = told.all || from.is_none();
                     break format!("{{\"rev\":{},\"all\":{all},\"targets\":[{}]}}", told.rev, told.targets);
                 }
-                Mood::Telling if since.elapsed() > Duration::from_millis(500) => {
+                Mood::Telling | Mood::DeafToWatches
+                    if !lost && (!waits || since.elapsed() > Duration::from_millis(500)) =>
+                {
                     break format!("{{\"rev\":{},\"all\":false,\"targets\":[]}}", told.rev);
                 }
                 _ => {}
--- a/crates/standins/src/http.rs
+++ b/crates/standins/src/http.rs
@@ -1,5 +1,6 @@
 //! Servers that answer over HTTP/1.1 as a test says, and clients that read the answers.
 
+use socket2::{Domain, Socket, Type};
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::sync::mpsc::{channel, Receiver, Sender};
@@ -115,7 +116,11 @@
 
 impl Server {
     pub fn new(reply: impl Fn(&Message) -> Reply + Send + Sync + 'static) -> Server {
-        let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+        Server::at(TcpListener::bind("127.0.0.1:0").expect("a port"), reply)
+    }
+
+    /// The same at a listener that is there already.
+    pub fn at(listener: TcpListener, reply: impl Fn(&Message) -> Reply + Send + Sync + 'static) -> Server {
         let address = listener.local_addr().expect("an address");
         let (tell, seen) = channel();
         let reply = Arc::new(reply);
@@ -141,6 +146,11 @@
         }
     }
 
+    /// Waits until another connection has come up.
+    pub fn connected(&self) {
+        while !matches!(self.seen.recv_timeout(LONG).expect("a connection comes up"), Seen::Connected) {}
+    }
+
     /// Waits until the gateway ends a connection.
     pub fn closed(&self) {
         while !matches!(self.seen.recv_timeout(LONG).expect("a connection ends"), Seen::Closed) {}
@@ -156,6 +166,41 @@
     }
 }
 
+/// A server to which connections come up late: its queue is full until it opens, and then the system tries again, a second
+/// after it did first and two after that.
+pub struct Crowded {
+    listener: TcpListener,
+    /// What fills the queue.
+    crowd: Vec<TcpStream>,
+}
+
+impl Crowded {
+    #[allow(clippy::new_without_default)]
+    pub fn new() -> Crowded {
+        let socket = Socket::new(Domain::IPV4, Type::STREAM, None).expect("a socket");
+        socket.bind(&SocketAddr::from(([127, 0, 0, 1], 0)).into()).expect("a port");
+        socket.listen(0).expect("it listens");
+        let listener = TcpListener::from(socket);
+        let address = listener.local_addr().expect("an address");
+        let one = || TcpStream::connect_timeout(&address, Duration::from_millis(300)).ok();
+        let crowd = std::iter::from_fn(one).collect();
+        Crowded { listener, crowd }
+    }
+
+    pub fn address(&self) -> SocketAddr {
+        self.listener.local_addr().expect("an address")
+    }
+
+    /// Connections come up from now on.
+    pub fn open(self, reply: impl Fn(&Message) -> Reply + Send + Sync + 'static) -> Server {
+        let waited = self.crowd.len();
+        drop(self.crowd);
+        let server = Server::at(self.listener, reply);
+        (0..waited).for_each(|_| server.closed());
+        server
+    }
+}
+
 fn converse(stream: TcpStream, tell: &Sender<Seen>, reply: &dyn Fn(&Message) -> Reply) {
     let Ok(mut write) = stream.try_clone() else { return };
     let mut read = BufReader::new(stream);
--- a/crates/turndeck/src/interface.rs
+++ b/crates/turndeck/src/interface.rs
@@ -555,6 +555,9 @@
         server: ServerId,
         /// Its time-out; 0: until the client gives up.
         timeout_us: Micros,
+        /// It may begin within this, and not any more when that has passed: then it never ran. Whoever carries it out looks
+        /// at the last moment, as a connection may come up late.
+        begin_within_us: Micros,
     },
     /// Stop waiting for an attempt.
     Cancel {
--- a/crates/turndeck/src/policy/attempts.rs
+++ b/crates/turndeck/src/policy/attempts.rs
@@ -37,6 +37,15 @@
             }
     }
 
+    /// How long from now an attempt may begin: while its answer is of use, and where one that may have run went out before,
+    /// while servers remember that one.
+    fn begin_within(&self, set: &Settings, now: Micros) -> Micros {
+        let useful = self.deadline.saturating_sub(now);
+        let Effect::Keyed { window_us, .. } = set.classes[self.class].effect else { return useful };
+        let ran = self.attempts.iter().filter(|a| a.may_have_run != Some(false));
+        ran.map(|a| (a.sent + window_us).saturating_sub(now)).fold(useful, Micros::min)
+    }
+
     fn may_refuse(&self, set: &Settings) -> bool {
         let effect = set.classes[self.class].effect;
         let harmless = matches!(effect, Effect::Repeatable | Effect::Keyed { scope: Scope::All, .. });
@@ -155,8 +164,10 @@
         self.post(customer, out);
         let Some(group) = self.fleet.sent(&server, saved, now) else { return };
         let Some(p) = self.requests.get_mut(&id) else { return };
+        let begin_within_us = p.begin_within(&self.set, now);
         p.attempts.push(Attempt { server: server.clone(), group, sent: now, may_have_run: None });
-        out.push(Action::Send { request: id, server, timeout_us: bound.unwrap_or(left) });
+        let timeout_us = bound.unwrap_or(left);
+        out.push(Action::Send { request: id, server, timeout_us, begin_within_us });
     }
 
     /// Guards against silent servers: an attempt that takes much longer than is usual for its units ends while there
--- a/crates/wirehost/src/wire.rs
+++ b/crates/wirehost/src/wire.rs
@@ -364,7 +364,8 @@
     pub fn from_action(i: u32, action: Action) -> Option<Self> {
         let text = |id: RequestId| format!("{:016x}", id.0);
         Some(match action {
-            Action::Send { request, server, timeout_us } => {
+            // There an attempt begins as it is sent.
+            Action::Send { request, server, timeout_us, begin_within_us: _ } => {
                 Out::Issue { i, id: text(request), server: server.0.to_string(), timeout_us }
             }
             Action::Cancel { request, attempt } => Out::Revoke { i, id: text(request), leg: attempt },
