Recorded replays hold the latest start of each send, too

The digest takes each action as it is told, so the new field of Action::Send changes all of them. From now on a change of the latest start shows here.

--- a/crates/turndeck/tests/replay.rs
+++ b/crates/turndeck/tests/replay.rs
@@ -267,9 +267,6 @@
         let (now, mut told) = (self.now, format!("{action:?}"));
         let kind = match action {
             Action::Send { request, server, timeout_us, begin_within_us: _ } => {
-                told = format!(
-                    "Send {{ request: {request:?}, server: {server:?}, timeout_us: {timeout_us:?} }}"
-                );
                 let n = self.attempts.entry((g, request)).or_default();
                 let attempt = *n;
                 *n += 1;
