A list that goes quiet is asked for again at once, without a wait, until an answer comes

Ruled out: a late answer of an agent that was left by SIGHUP is not heard (the call ends with its follower); its test stays. Change: a watch waits for 1 s, is given up half a second after that; from then on, and after any other failure, calls without a wait go out every 150 ms, each over a connection of its own, six of them at most, and whichever is answered first counts. Connect, head and body are within that bound. A change older than the version that is held has the whole list asked for. Calls begin 20 ms apart at least, and 150 ms after a failure.

--- /dev/null
+++ b/crates/frosthatch/tests/quiet_lists.rs
@@ -0,0 +1,140 @@
+//! Discovery that goes quiet, lies or comes back: a change is known soon after it could be asked for.
+
+mod common;
+use common::*;
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::Arc;
+use std::thread::sleep;
+use std::time::{Duration, Instant};
+
+fn servers() -> (Server, Server) {
+    (Server::new(|_| ok("a")), Server::new(|_| ok("b")))
+}
+
+/// How long until requests go to another server.
+fn until_told(gateway: &Gateway, body: &str) -> Duration {
+    let since = Instant::now();
+    while gateway.ask(&Ask::check()).body != body {
+        assert!(since.elapsed() < LONG, "it is never told");
+        sleep(Duration::from_millis(5));
+    }
+    since.elapsed()
+}
+
+/// Guards against waiting calls that fall silent again and again: what is asked next may not wait.
+#[test]
+fn a_change_is_known_though_no_watch_is_ever_answered() {
+    let (a, b) = servers();
+    let discovery = Discovery::new(&target("a", a.address, 0, "Ready"));
+    let gateway = Gateway::alone(&discovery);
+    discovery.mood(Mood::DeafToWatches);
+    for (entry, body) in
+        [(target("b", b.address, 0, "Ready"), "b"), (target("a", a.address, 0, "Ready"), "a")]
+    {
+        discovery.post(true, &entry);
+        assert!(until_told(&gateway, body) < Duration::from_secs(6));
+    }
+}
+
+/// Guards against patience with a call that was made while discovery was down: it learns nothing then and answers nothing
+/// later, and what it gets at its return counts at once.
+#[test]
+fn what_discovery_has_at_its_return_is_known_at_once() {
+    let (a, b) = servers();
+    let discovery = Discovery::new(&target("a", a.address, 0, "Ready"));
+    let gateway = Gateway::alone(&discovery);
+    for (entry, body) in
+        [(target("b", b.address, 0, "Ready"), "b"), (target("a", a.address, 0, "Ready"), "a")]
+    {
+        discovery.mood(Mood::Down);
+        // The last of these has just come, and is lost.
+        discovery.asked_again(5);
+        discovery.post(true, &entry);
+        discovery.mood(Mood::Telling);
+        let took = until_told(&gateway, body);
+        assert!(took < Duration::from_secs(1), "{took:?}");
+    }
+}
+
+/// Guards against holding on to the version of an agent that has begun anew: what it calls a change is one of another list.
+#[test]
+fn an_agent_that_has_begun_anew_is_asked_for_all_of_its_list() {
+    let (a, b) = servers();
+    let anew = Arc::new(AtomicBool::new(false));
+    let entries = [target("a", a.address, 0, "Ready"), target("b", b.address, 0, "Ready")];
+    let began = anew.clone();
+    let agent = Server::new(move |m| {
+        let whole = !m.line.contains("from=");
+        match (began.load(Ordering::SeqCst), whole) {
+            (false, true) => ok(&format!(r#"{{"rev":90,"all":true,"targets":[{}]}}"#, entries[0])),
+            (false, false) => {
+                sleep(Duration::from_millis(50));
+                ok(r#"{"rev":90,"all":false,"targets":[]}"#)
+            }
+            (true, true) => ok(&format!(r#"{{"rev":3,"all":true,"targets":[{}]}}"#, entries[1])),
+            (true, false) => ok(r#"{"rev":3,"all":false,"targets":[]}"#),
+        }
+    });
+    let gateway = Gateway::start(agent.address, None, 1, "");
+    gateway.wait_ready();
+    assert_eq!(gateway.ask(&Ask::check()).body, "a");
+    anew.store(true, Ordering::SeqCst);
+    assert!(until_told(&gateway, "b") < Duration::from_secs(6));
+}
+
+/// Guards against answers that fail in every way and against calls without a pause: the list stays, a change is known once an
+/// answer comes, and an agent that answers at once is not asked without end.
+#[test]
+fn bad_answers_keep_the_list_and_are_not_asked_for_without_end() {
+    let bad: [fn() -> Reply; 5] = [
+        || status("500 Internal Server Error"),
+        || Reply::Last("HTTP/1.1 200 OK\r\nContent-Length: 90\r\n\r\n{\"rev\":7,".into()),
+        || ok("{\"rev\":true}"),
+        || ok("{\"rev\":1,\"all\":false,\"targets\":[]}"),
+        || Reply::Silence,
+    ];
+    for bad in bad {
+        let (a, b) = servers();
+        let (state, calls) = (Arc::new(AtomicU64::new(0)), Arc::new(AtomicU64::new(0)));
+        let entries = [target("a", a.address, 0, "Ready"), target("b", b.address, 0, "Ready")];
+        let (now, called) = (state.clone(), calls.clone());
+        let agent = Server::new(move |_| {
+            called.fetch_add(1, Ordering::SeqCst);
+            match now.load(Ordering::SeqCst) {
+                1 => bad(),
+                n => {
+                    ok(&format!(r#"{{"rev":{},"all":true,"targets":[{}]}}"#, n + 5, entries[n as usize / 2]))
+                }
+            }
+        });
+        let gateway = Gateway::start(agent.address, None, 1, "");
+        gateway.wait_ready();
+        state.store(1, Ordering::SeqCst);
+        let before = calls.load(Ordering::SeqCst);
+        sleep(Duration::from_secs(1));
+        let calls = calls.load(Ordering::SeqCst) - before;
+        assert!((1..60).contains(&calls), "{calls} calls in a second");
+        assert_eq!(gateway.ask(&Ask::check()).body, "a");
+        state.store(2, Ordering::SeqCst);
+        assert!(until_told(&gateway, "b") < Duration::from_secs(6));
+    }
+}
+
+/// Guards against an agent that was left: what it says now is not heard any more.
+#[test]
+fn a_late_answer_of_an_agent_that_was_left_is_not_heard() {
+    let (a, b) = servers();
+    let (old, new) = (
+        Discovery::new(&target("a", a.address, 0, "Ready")),
+        Discovery::new(&target("b", b.address, 0, "Ready")),
+    );
+    let gateway = Gateway::alone(&old);
+    old.mood(Mood::Silent);
+    old.asked_again(1);
+    gateway.configure(&config_text(new.address, None, 1, ""));
+    assert!(until_told(&gateway, "b") < Duration::from_secs(4));
+    old.post(true, &target("a", a.address, 0, "Ready"));
+    old.mood(Mood::Telling);
+    new.asked_again(2);
+    assert_eq!(gateway.ask(&Ask::check()).body, "b");
+}
--- a/crates/membership/src/list.rs
+++ b/crates/membership/src/list.rs
@@ -5,18 +5,27 @@
 use frosthatch_http1::conn::{Conn, Sending};
 use serde::{Deserialize, Deserializer};
 use std::cell::Cell;
+use std::collections::VecDeque;
 use std::fmt;
+use std::future::{poll_fn, Future};
 use std::net::SocketAddr;
+use std::pin::Pin;
+use std::task::Poll;
 use std::time::Duration;
-use tokio::time::{sleep, timeout};
+use tokio::time::{interval, sleep_until, timeout, Instant, MissedTickBehavior};
 use turndeck::ListKind;
 
-/// How long a watch waits for news. Short, so that a silent discovery is noticed and asked again in time.
-const HOLD_MS: u64 = 2_000;
-/// An answer that comes later than this after the wait is over will not come.
-const PATIENCE: Duration = Duration::from_millis(HOLD_MS + 1_000);
-const BACKOFF_LEAST: Duration = Duration::from_millis(50);
-const BACKOFF_MOST: Duration = Duration::from_secs(1);
+/// How long a watch waits for news. Short, so that one that has fallen silent is noticed soon.
+const HOLD_MS: u64 = 1_000;
+/// An answer that comes later than this, after the wait that it may have is over, will not come.
+const PATIENCE: Duration = Duration::from_millis(500);
+/// After a call that brought nothing the list is asked for at once, without a wait and over a new connection, again this long
+/// after that, and so on: what discovery knows when it is back is known here within this...
+const AGAIN: Duration = Duration::from_millis(150);
+/// ...however long its answer takes, up to so many times that: those before are still heard.
+const CALLS_OUT: usize = 6;
+/// A call begins this long after the one before at the earliest, whatever discovery answers.
+const BETWEEN: Duration = Duration::from_millis(20);
 /// A list larger than this is nonsense.
 const LIST_BYTES: usize = 4 << 20;
 
@@ -125,37 +134,87 @@
 pub(crate) async fn follow(address: SocketAddr, desk: &Desk) {
     let mut conn = None;
     let mut rev = None;
-    let mut backoff = BACKOFF_LEAST;
     let mut failing = false;
+    let mut next = Instant::now();
     loop {
-        match timeout(PATIENCE, call(address, &mut conn, rev)).await.unwrap_or(Err(CallError::Silent)) {
-            Ok(list) => {
-                (rev, backoff, failing) = (Some(list.rev), BACKOFF_LEAST, false);
-                let kind = if list.all { ListKind::Complete } else { ListKind::Partial };
-                desk.tell(kind, list.targets);
+        sleep_until(next).await;
+        next = Instant::now() + BETWEEN;
+        let wait = rev.map(|rev| (rev, HOLD_MS));
+        let patience = PATIENCE + Duration::from_millis(wait.map_or(0, |(_, hold)| hold));
+        let called = timeout(patience, call(address, conn.take(), wait)).await;
+        let (list, kept) = match called.unwrap_or(Err(CallError::Silent)) {
+            Ok(told) => {
+                failing = false;
+                told
             }
             Err(e) => {
                 if !std::mem::replace(&mut failing, true) {
                     eprintln!("discovery: {e}; keeping the last list");
                 }
-                conn = None;
-                sleep(backoff).await;
-                backoff = (backoff * 2).min(BACKOFF_MOST);
+                let told = ask_until_told(address, rev).await;
+                next = Instant::now() + AGAIN;
+                told
             }
+        };
+        conn = kept;
+        // Guards against an agent that has begun anew, and tells changes of another list than the one that is held.
+        if !list.all && rev.is_none_or(|rev| list.rev < rev) {
+            rev = None;
+            next = Instant::now() + AGAIN;
+            continue;
         }
+        rev = Some(list.rev);
+        let kind = if list.all { ListKind::Complete } else { ListKind::Partial };
+        desk.tell(kind, list.targets);
     }
 }
 
+/// Asks, without a wait, until an answer has come: anew each time a while has passed, as what is out may never be answered.
+async fn ask_until_told(address: SocketAddr, rev: Option<u64>) -> (ServerList, Option<Conn>) {
+    let mut out = VecDeque::new();
+    let mut again = interval(AGAIN);
+    again.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    loop {
+        tokio::select! {
+            _ = again.tick() => {
+                if out.len() >= CALLS_OUT {
+                    out.pop_front();
+                }
+                out.push_back(Box::pin(call(address, None, rev.map(|rev| (rev, 0)))));
+            }
+            (nth, called) = first_of(&mut out), if !out.is_empty() => match called {
+                Ok(told) => return told,
+                // The next one goes out in its turn: who answers nonsense is not asked more often.
+                Err(_) => drop(out.remove(nth)),
+            }
+        }
+    }
+}
+
+/// Which of them ends first, and how.
+async fn first_of<F: Future + Unpin>(of: &mut VecDeque<F>) -> (usize, F::Output) {
+    poll_fn(|cx| {
+        let ended = |(nth, f): (usize, &mut F)| match Pin::new(f).poll(cx) {
+            Poll::Ready(output) => Some((nth, output)),
+            Poll::Pending => None,
+        };
+        of.iter_mut().enumerate().find_map(ended).map_or(Poll::Pending, Poll::Ready)
+    })
+    .await
+}
+
+/// One call, and its connection if another may go over it. `wait`: only what is newer than a version, for which discovery
+/// may wait so many milliseconds.
 async fn call(
     address: SocketAddr,
-    conn: &mut Option<Conn>,
-    rev: Option<u64>,
-) -> Result<ServerList, CallError> {
-    let path = match rev {
+    conn: Option<Conn>,
+    wait: Option<(u64, u64)>,
+) -> Result<(ServerList, Option<Conn>), CallError> {
+    let path = match wait {
         None => "/v1/endpoints".to_string(),
-        Some(rev) => format!("/v1/endpoints?from={rev}&hold_ms={HOLD_MS}"),
+        Some((rev, hold_ms)) => format!("/v1/endpoints?from={rev}&hold_ms={hold_ms}"),
     };
-    let open = match conn.take().filter(Conn::quiet) {
+    let open = match conn.filter(Conn::quiet) {
         Some(open) => open,
         None => Conn::open(address).await.map_err(CallError::Io)?,
     };
@@ -167,11 +226,11 @@
     if answer.rest.is_some() {
         return Err(CallError::TooLong);
     }
-    if answer.reusable {
-        *conn = Some(open);
-    }
     match answer.status {
-        200 => serde_json::from_slice(&answer.body).map_err(CallError::Malformed),
+        200 => {
+            let list = serde_json::from_slice(&answer.body).map_err(CallError::Malformed)?;
+            Ok((list, answer.reusable.then_some(open)))
+        }
         status => Err(CallError::Status(status)),
     }
 }
