One orderly end for every client's connection; a client that goes is seen to go

Change: Client::end() is the one end: shut the sending side, read and discard 256 KiB or 200 ms at most, close; one in eight of the connections held may linger so beside those in use, others read what is there. What is sent ahead beyond a head is read on, thrown away at 64 KiB every 5 ms, and ends its connection after the answer. Before a request is taken the socket itself is asked whether its client has gone. An end is not heard any more once a request has begun; connections that have hardly come have 0.3 s to ask. The end of the process looks twice, 10 ms apart. A client that shuts its sending side has gone: that cannot be told from a close.

--- a/crates/frosthatch/src/serve.rs
+++ b/crates/frosthatch/src/serve.rs
@@ -30,6 +30,8 @@
 const STILL_COMING: Duration = Duration::from_millis(500);
 /// Once the longest deadline has passed after that, nothing is held; SIGKILL may come 0.7 s after it.
 const LAST_ANSWERS: Duration = Duration::from_millis(50);
+/// With nothing held any more it is looked so often whether something has come all the same.
+const LAST_LOOKS: u32 = 2;
 /// Answers to a goodbye are awaited for so long, and other gateways told of it.
 const GOODBYE: Duration = Duration::from_millis(100);
 /// How often is looked whether this gateway is ready, for the others.
@@ -266,10 +268,14 @@
         }
     }
     let finish = async {
-        while door.open() > 0 || diameter.as_ref().is_some_and(|d| d.front.held() > 0) {
-            // Again and again: a connection may have come since.
+        let held = || door.open() > 0 || diameter.as_ref().is_some_and(|d| d.front.held() > 0);
+        // Again and again: a connection may have come since, and one that waits in the listener's queue is seen by the next
+        // look at the latest.
+        let mut looks_without = 0;
+        while looks_without < LAST_LOOKS {
             door.close();
             sleep(Duration::from_millis(10)).await;
+            looks_without = if held() { 0 } else { looks_without + 1 };
         }
     };
     let _ = timeout_at(ends, finish).await;
--- a/crates/http1/src/front.rs
+++ b/crates/http1/src/front.rs
@@ -14,6 +14,8 @@
 use std::collections::HashMap;
 use std::fmt::Write;
 use std::future::Future;
+use std::io::{self, Read};
+use std::pin::pin;
 use std::rc::Rc;
 use std::str::FromStr;
 use std::time::Duration;
@@ -45,10 +47,16 @@
 const ASKS_WITHIN: Duration = Duration::from_millis(300);
 /// A client reads its answer within this.
 const READS_WITHIN: Duration = Duration::from_secs(2);
-/// After an error so much more is read, and for so long, that the client can read the answer: a connection that is
-/// closed on bytes that nobody has read is reset.
+/// At the end of a connection so much more is read, and for so long, that the client can read its last answer: a connection
+/// that is closed on bytes that nobody has read is reset.
 const LINGER_BYTES: usize = 256 << 10;
 const LINGER: Duration = Duration::from_millis(200);
+/// One in so many of the connections that are held at most may linger like that, beside those that are in use.
+const LINGERING: usize = 8;
+/// A client that sends ahead while it waits for its answer is read on, as only so its end is seen, but what is beyond a
+/// head is thrown away, and so often: nobody can make the gateway do nothing else.
+const FLOOD_PAUSE: Duration = Duration::from_millis(5);
+const FLOOD_BYTES: usize = 64 << 10;
 /// No client waits this long.
 const MOST_PATIENCE_S: f64 = 3_600.0;
 
@@ -68,6 +76,8 @@
     since: Instant,
     /// It has asked before.
     kept: bool,
+    /// Something of a request has come.
+    begun: bool,
     end: Rc<Notify>,
 }
 
@@ -84,6 +94,8 @@
     /// By number.
     idle: RefCell<HashMap<u64, Idle>>,
     open: Cell<usize>,
+    /// Of these, those that are over but for what their clients still send.
+    lingering: Cell<usize>,
     /// Connections held at most, as things stand.
     most: Cell<usize>,
     /// Another process accepts, as long as this is not set.
@@ -99,6 +111,8 @@
     buffer: Vec<u8>,
     /// It has asked before.
     kept: bool,
+    /// It has sent more than can be kept: nothing that stands behind can be read as a request.
+    flooded: bool,
 }
 
 impl Door {
@@ -109,7 +123,8 @@
         rules: Option<Rc<dyn Rules>>,
         most: usize,
     ) -> Rc<Self> {
-        let (leaving, emptying, open) = (Cell::new(false), Cell::new(None), Cell::new(0));
+        let (leaving, emptying) = (Cell::new(false), Cell::new(None));
+        let (open, lingering) = (Cell::new(0), Cell::new(0));
         let (idle, most) = (RefCell::default(), Cell::new(most));
         let (accepting, turned) = (Cell::new(true), Notify::new());
         Rc::new(Door {
@@ -121,6 +136,7 @@
             emptying,
             idle,
             open,
+            lingering,
             most,
             accepting,
             turned,
@@ -159,7 +175,7 @@
             sleep(EMPTIES_AFTER).await;
             while door.emptying.get() == Some(since) {
                 let all = since.elapsed() >= EMPTY_WITHIN;
-                door.close_idle(if all { HARDLY_COME } else { EMPTIES_IDLE });
+                door.close_idle(if all { HARDLY_COME } else { EMPTIES_IDLE }, HARDLY_COME);
                 sleep(HARDLY_COME / 2).await;
             }
         });
@@ -170,14 +186,17 @@
         self.emptying.set(None);
     }
 
-    /// Idle connections end now, the others after their answer.
+    /// Idle connections end now, but for those that have hardly come and may be about to ask; the others after their answer.
     pub fn close(&self) {
-        self.close_idle(Duration::ZERO);
+        self.close_idle(Duration::ZERO, ASKS_WITHIN);
     }
 
-    fn close_idle(&self, least: Duration) {
+    /// Ends connections that have been idle for so long, those that have never asked after `new`. One on which a request has
+    /// begun is not idle.
+    fn close_idle(&self, least: Duration, new: Duration) {
         let now = Instant::now();
-        self.idle.borrow().values().filter(|i| now - i.since >= least).for_each(|i| i.end.notify_one());
+        let idle = |i: &&Idle| !i.begun && now - i.since >= if i.kept { least } else { least.max(new) };
+        self.idle.borrow().values().filter(idle).for_each(|i| i.end.notify_one());
     }
 
     pub fn open(&self) -> usize {
@@ -201,7 +220,7 @@
 
     /// Lets go of connections that have been idle for a while.
     pub fn close_stale(&self) {
-        self.close_idle(EMPTIES_IDLE);
+        self.close_idle(EMPTIES_IDLE, EMPTIES_IDLE);
     }
 
     /// Ends the connection that has been idle longest, if any has been for long enough.
@@ -220,7 +239,7 @@
                 self.turned.notified().await;
             }
             // Guards against running out of descriptors: those that are idle make room.
-            while self.open() >= self.most.get() {
+            while self.open() - self.lingering.get() >= self.most.get() - self.most.get() / LINGERING {
                 match self.make_room() {
                     true => yield_now().await,
                     false => sleep(Duration::from_millis(2)).await,
@@ -235,7 +254,14 @@
                     let door = self.clone();
                     self.open.set(self.open.get() + 1);
                     tokio::task::spawn_local(async move {
-                        door.serve(Client { stream, number, buffer: Vec::new(), kept: false }).await;
+                        door.serve(Client {
+                            stream,
+                            number,
+                            buffer: Vec::new(),
+                            kept: false,
+                            flooded: false,
+                        })
+                        .await;
                         door.idle.borrow_mut().remove(&number);
                         door.open.set(door.open.get() - 1);
                     });
@@ -248,32 +274,48 @@
 
     async fn serve(self: &Rc<Self>, mut client: Client) {
         let _ = client.stream.set_nodelay(true);
+        if self.converse(&mut client).await {
+            let most = self.most.get() / LINGERING;
+            // Where many end at once, or to make room, the last of them do without.
+            if self.lingering.get() < most.max(1) {
+                self.lingering.set(self.lingering.get() + 1);
+                client.end().await;
+                self.lingering.set(self.lingering.get() - 1);
+            } else {
+                client.end_at_once();
+            }
+        }
+    }
+
+    /// Requests and answers, one after another; whether the connection ends in good order then. Else its client must see
+    /// that it does not.
+    async fn converse(self: &Rc<Self>, client: &mut Client) -> bool {
         loop {
-            let asked = match self.read(&mut client).await {
+            let asked = match self.read(client).await {
                 Ok(Some(asked)) => asked,
-                Ok(None) => return,
+                Ok(None) => return true,
                 Err(bad) => return client.turn_away(&bad).await,
             };
             client.kept = true;
             let mut added = String::new();
             let answer = match asked.ask {
                 None => Reply::Ready(self.ready()),
-                Some(ask) => match self.answer_by_rules(&mut client, *ask, &mut added).await {
+                Some(ask) => match self.answer_by_rules(client, *ask, &mut added).await {
                     Ok(Some(answer)) => Reply::Answer(answer),
                     // The client has gone.
-                    Ok(None) => return,
+                    Ok(None) => return true,
                     Err(bad) => return client.turn_away(&bad).await,
                 },
             };
-            let close = asked.close || self.ends_connections();
+            let close = asked.close || client.flooded || self.ends_connections();
             let written = match answer {
                 Reply::Answer(Answer::Passing(first, rest)) => {
-                    self.pass_on(&client, first, rest, close, asked.old, &added).await
+                    self.pass_on(client, first, rest, close, asked.old, &added).await
                 }
                 answer => client.write(&answer.text(close, &added)).await,
             };
             if !written || close {
-                return;
+                return written;
             }
         }
     }
@@ -282,8 +324,8 @@
     async fn read(&self, client: &mut Client) -> Result<Option<Asked>, BadRequest> {
         let (since, kept) = (Instant::now(), client.kept);
         let end = Rc::new(Notify::new());
-        self.idle.borrow_mut().insert(client.number, Idle { since, kept, end: end.clone() });
-        let asked = self.read_idle(client, since, &end).await;
+        self.idle.borrow_mut().insert(client.number, Idle { since, kept, begun: false, end: end.clone() });
+        let asked = self.read_idle(client, since, end).await;
         self.idle.borrow_mut().remove(&client.number);
         asked
     }
@@ -292,7 +334,7 @@
         &self,
         client: &mut Client,
         since: Instant,
-        end: &Notify,
+        mut end: Rc<Notify>,
     ) -> Result<Option<Asked>, BadRequest> {
         let mut by = since + if client.kept { KEPT } else { WHOLE_WITHIN };
         let mut head: Option<Head> = None;
@@ -301,12 +343,17 @@
             let buffer = &mut client.buffer;
             if !begun && !buffer.is_empty() {
                 begun = true;
+                // Idle no longer, for all that can be told.
+                let now = Instant::now();
                 if client.kept {
-                    // Idle no longer, for all that can be told.
-                    let now = Instant::now();
                     by = now + WHOLE_WITHIN;
-                    self.idle.borrow_mut().entry(client.number).and_modify(|i| i.since = now);
                 }
+                // Whoever ended it took it for idle, and is not heard any more.
+                end = Rc::default();
+                self.idle.borrow_mut().entry(client.number).and_modify(|i| {
+                    (i.begun, i.end) = (true, end.clone());
+                    i.since = if i.kept { now } else { i.since };
+                });
             }
             if head.is_none() {
                 head = match ends_head(buffer, looked_at) {
@@ -492,10 +539,11 @@
     }
 
     /// Passes a long answer on as it comes; whether all of it was. Cut short, it has no end that a client could take for
-    /// one: its length is not reached, or the last chunk is missing.
+    /// one: its length is not reached, the last chunk is missing, or, where only the end of its connection tells, that is
+    /// reset. A client that goes meanwhile ends it.
     async fn pass_on(
         &self,
-        client: &Client,
+        client: &mut Client,
         first: Bytes,
         rest: Box<dyn Any>,
         close: bool,
@@ -505,6 +553,9 @@
         let Ok(mut passing) = rest.downcast::<Passing>() else { return false };
         let length = passing.length();
         let chunked = length.is_none() && !old;
+        if length.is_none() && old {
+            let _ = SockRef::from(&client.stream).set_linger(Some(Duration::ZERO));
+        }
         let framing = match length {
             Some(length) => format!("Content-Length: {length}\r\n"),
             None if chunked => "Transfer-Encoding: chunked\r\n".into(),
@@ -531,12 +582,13 @@
             }
             if ended {
                 self.upstream.passed(*passing);
+                let _ = SockRef::from(&client.stream).set_linger(None);
                 return true;
             }
             out.clear();
-            match timeout(STALLS, passing.go_on(&mut part)).await {
-                Ok(Ok(whole)) => ended = whole,
-                // Spoilt, cut short or silent.
+            match client.while_there(pin!(timeout(STALLS, passing.go_on(&mut part)))).await {
+                Some(Ok(Ok(whole))) => ended = whole,
+                // Spoilt, cut short, silent, or for nobody.
                 _ => return false,
             }
         }
@@ -597,6 +649,10 @@
     /// The answer to a request; none if its client goes first.
     async fn answer(&self, client: &mut Client, ask: Ask) -> Result<Option<Answer>, BadRequest> {
         let Ask { request, gone_at, forward, .. } = ask;
+        // Guards against sending on what waited here, unread, until its client had gone.
+        if client.has_gone() {
+            return Ok(None);
+        }
         let id = request.id;
         let payload = Box::new(Outgoing { forward: Rc::new(forward), upstream: self.upstream.clone() });
         let taken = self.engine.take(Arrival { request, gone_at, payload });
@@ -609,19 +665,50 @@
 }
 
 impl Client {
-    /// What comes of something that the client waits for; none if it goes first.
+    /// What comes of something that the client waits for; none if it goes first. One that ends its side of the connection has
+    /// gone: it cannot be told from one that has closed all of it.
     async fn while_there<T>(&mut self, mut awaited: impl Future<Output = T> + Unpin) -> Option<T> {
         loop {
             tokio::select! {
                 biased;
                 done = &mut awaited => return Some(done),
-                read = read_more(&self.stream, &mut self.buffer), if self.buffer.len() < HEAD_BYTES => {
-                    if matches!(read, Ok(0) | Err(_)) {
-                        return None;
+                gone = self.listen() => if gone {
+                    return None;
+                },
+            }
+        }
+    }
+
+    /// Waits for more from the client; whether it has gone.
+    async fn listen(&mut self) -> bool {
+        if self.flooded {
+            sleep(FLOOD_PAUSE).await;
+            return self.has_gone();
+        }
+        let read = read_more(&self.stream, &mut self.buffer).await;
+        self.flooded |= self.buffer.len() > HEAD_BYTES;
+        matches!(read, Ok(0) | Err(_))
+    }
+
+    /// Whether the client has gone by now, as the socket itself has it: reads what has come.
+    fn has_gone(&mut self) -> bool {
+        let socket = SockRef::from(&self.stream);
+        let (mut chunk, mut seen) = ([0; CHUNK], 0);
+        while seen < FLOOD_BYTES {
+            match (&*socket).read(&mut chunk) {
+                Ok(0) => return true,
+                Ok(n) => {
+                    seen += n;
+                    match self.flooded {
+                        true => {}
+                        false => self.buffer.extend_from_slice(&chunk[..n]),
                     }
+                    self.flooded |= self.buffer.len() > HEAD_BYTES;
                 }
+                Err(e) => return e.kind() != io::ErrorKind::WouldBlock,
             }
         }
+        false
     }
 
     /// Whether all of it was written in time.
@@ -629,11 +716,15 @@
         timeout(READS_WITHIN, write_all(&self.stream, text, &Cell::new(0))).await.is_ok_and(|w| w.is_ok())
     }
 
-    /// Says what is wrong and ends the connection, so that nothing behind it is read as a request.
-    async fn turn_away(mut self, bad: &BadRequest) {
-        if !self.write(&response(bad.status(), &bad.headers(), true, bad.text().as_bytes())).await {
-            return;
-        }
+    /// Says what is wrong: nothing behind it is read as a request. Whether all of that was written.
+    async fn turn_away(&mut self, bad: &BadRequest) -> bool {
+        self.write(&response(bad.status(), &bad.headers(), true, bad.text().as_bytes())).await
+    }
+
+    /// The one orderly end of a connection: the client hears that nothing more comes, and what it still sends is read, and
+    /// thrown away, until it has heard. A request among that was not taken, and its client knows; closed on bytes that
+    /// nobody has read the connection would be reset, and the last answer with it.
+    async fn end(mut self) {
         let _ = SockRef::from(&self.stream).shutdown(std::net::Shutdown::Write);
         let drain = async {
             let mut drained = 0;
@@ -647,6 +738,13 @@
         };
         let _ = timeout(LINGER, drain).await;
     }
+
+    /// The same with what is there already.
+    fn end_at_once(mut self) {
+        let _ = SockRef::from(&self.stream).shutdown(std::net::Shutdown::Write);
+        self.flooded = true;
+        self.has_gone();
+    }
 }
 
 /// A request for a server.
