Connections to servers rest 25 ms after an answer: a late second one is nobody's answer

Shown with real processes (tests/outcomes.rs, a_second_copy_of_an_answer_that_comes_late_serves_nobody), red on: a server that repeats its answer 2 ms later; the next request went over that connection and its client was given the answer of the one before. Change: take() leaves out connections whose last answer is less than 25 ms old; a stray answer has shown itself by then and the connection goes. Answers name no request, so nothing else tells them apart. Three tests asked two requests in a row and counted one connection; they pause 100 ms between requests now and count the same.

--- a/crates/frosthatch/tests/outcomes.rs
+++ b/crates/frosthatch/tests/outcomes.rs
@@ -156,6 +156,22 @@
     }
 }
 
+/// Guards against the same some milliseconds later, when the connection may carry another request already.
+#[test]
+fn a_second_copy_of_an_answer_that_comes_late_serves_nobody() {
+    let server = Server::new(|m| {
+        let body = m.header("X-Trace-Id").unwrap_or("").to_string();
+        let once = format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{body}", body.len());
+        Reply::Twice(once.clone(), once)
+    });
+    let discovery = Discovery::new(&target("a", server.address, 0, "Ready"));
+    let gateway = Gateway::alone(&discovery);
+    for _ in 0..20 {
+        let ask = Ask::check();
+        assert_eq!(gateway.ask(&ask).body, ask.header("X-Trace-Id"));
+    }
+}
+
 /// Answers that cannot be believed, whatever their first line says; the connection stays open behind them.
 const SPOILT: [&str; 14] = [
     "HTTP/1.1 200 OK\r\n\r\nfirst",
@@ -221,6 +237,8 @@
         let gateway = Gateway::alone(&Discovery::new(&target("a", server.address, 0, "Ready")));
         for _ in 0..3 {
             assert_eq!(gateway.ask(&Ask::check()).body, "fine");
+            // A connection rests for a moment after each answer.
+            std::thread::sleep(std::time::Duration::from_millis(100));
         }
         // All on one connection.
         assert_eq!(server.so_far().iter().filter(|s| matches!(s, Seen::Connected)).count(), 1);
--- a/crates/frosthatch/tests/plain.rs
+++ b/crates/frosthatch/tests/plain.rs
@@ -57,6 +57,8 @@
     last.path = "/balance-check?last";
     for ask in [Ask::check(), Ask::check(), last, Ask::check(), Ask::check()] {
         assert_eq!(gateway.ask(&ask).status(), 200);
+        // A connection rests for a moment after each answer.
+        std::thread::sleep(Duration::from_millis(100));
         if ask.path.contains("last") {
             server.closed();
             // Its end has to cross to the gateway.
--- a/crates/frosthatch/tests/rules.rs
+++ b/crates/frosthatch/tests/rules.rs
@@ -51,6 +51,8 @@
     server.so_far();
     for _ in 0..4 {
         assert_eq!(gateway.ask(&Ask::top_up()).body, "here");
+        // A connection rests for a moment after each answer.
+        std::thread::sleep(std::time::Duration::from_millis(100));
     }
     assert_eq!(server.so_far().iter().filter(|s| matches!(s, Seen::Connected)).count(), 1);
 }
--- a/crates/http1/src/backend.rs
+++ b/crates/http1/src/backend.rs
@@ -18,6 +18,11 @@
 use tokio::time::{timeout, timeout_at, Instant};
 use turndeck::{ServerId, Status};
 
+/// A connection is not used again sooner than this after an answer. Guards against a second answer to the same request, which
+/// may come some milliseconds late and would be taken for the next one's: a stray one shows itself meanwhile. Other
+/// connections rest less than they would for want of this; one more is opened where all of them do.
+const REST: Duration = Duration::from_millis(25);
+
 /// What of a client's request goes on to a server.
 pub struct Forward {
     /// Its line and its headers, each with its end, but for the time that is left.
@@ -155,7 +160,13 @@
     fn take(&self, server: &ServerId) -> Option<Idle> {
         let mut servers = self.servers.borrow_mut();
         let (idle, most) = (&mut servers.get_mut(server)?.idle, self.most_idle());
-        std::iter::from_fn(|| idle.pop()).find(|i| i.since.elapsed() < most && i.conn.quiet())
+        while let Some(rested) = idle.iter().rposition(|i| i.since.elapsed() >= REST) {
+            let i = idle.remove(rested);
+            if i.since.elapsed() < most && i.conn.quiet() {
+                return Some(i);
+            }
+        }
+        None
     }
 
     fn put_back(&self, server: &ServerId, address: SocketAddr, conn: Conn, slot: Slot) {
