A gateway whose places are all taken refuses at once what it cannot hold, in place of leaving it unread

Cause: front.rs, accept(), waits for an idle connection to make room; with a request under way on each of them none is, and what the system had accepted was read after its time. Change: one place in four is kept free of requests under way; beyond, a request is refused as it is read, with advice, and its connection ends, so that the next is heard.

--- a/crates/frosthatch/tests/clients.rs
+++ b/crates/frosthatch/tests/clients.rs
@@ -177,6 +177,29 @@
     assert_eq!(crowd.collect::<Vec<Client>>().len(), 250);
 }
 
+/// Guards against requests that wait unread because all places are taken by others that take long: what cannot be held is
+/// refused at once, and everybody is answered in time.
+#[test]
+fn a_request_that_finds_all_places_taken_is_refused_in_its_time() {
+    let server = Server::new(|_| Reply::Silence);
+    let discovery = Discovery::new(&target("a", server.address, 0, "Ready"));
+    let text = config_text(discovery.address, None, 1, "");
+    let gateway = Gateway::start_with(&text.replace("\"sockets\":256", "\"sockets\":64"));
+    gateway.wait_ready();
+    let since = Instant::now();
+    let mut clients: Vec<Client> = (0..60).map(|_| gateway.client()).collect();
+    for client in &mut clients {
+        client.send(&Ask::check().with("X-Expires-In", "3.0").text());
+    }
+    let answers: Vec<u16> = clients.iter_mut().map(|c| c.answer().expect("an answer").status()).collect();
+    assert!(since.elapsed() < Duration::from_secs(5), "{:?}", since.elapsed());
+    // The silence of a server is no reason not to refuse one that is safe to repeat.
+    assert!(answers.iter().all(|s| *s == 429), "{answers:?}");
+    assert!((1..60).contains(&server.requests_so_far()), "some were held, and some were not");
+    // Also for whoever only asks whether it is ready.
+    assert!(gateway.ready());
+}
+
 /// Guards against connections that are kept for good by clients that do not come back.
 #[test]
 fn a_connection_that_nobody_uses_is_closed_in_the_end() {
--- a/crates/http1/src/front.rs
+++ b/crates/http1/src/front.rs
@@ -53,6 +53,11 @@
 const LINGER: Duration = Duration::from_millis(200);
 /// One in so many of the connections that are held at most may linger like that, beside those that are in use.
 const LINGERING: usize = 8;
+/// One in so many of the connections held at most is kept free of requests under way: with more of them new ones are refused at
+/// once. Guards against requests that wait unread, with no answer in their time, because all places are taken.
+const FREE: usize = 4;
+/// A client that is refused for want of a place may come again after this.
+const NO_PLACE: Duration = Duration::from_millis(500);
 /// A client that sends ahead while it waits for its answer is read on, as only so its end is seen, but what is beyond a
 /// head is thrown away, and so often: nobody can make the gateway do nothing else.
 const FLOOD_PAUSE: Duration = Duration::from_millis(5);
@@ -199,6 +204,12 @@
         self.idle.borrow().values().filter(idle).for_each(|i| i.end.notify_one());
     }
 
+    /// Requests under way have all places but those that others need to be heard at all.
+    fn crowded(&self) -> bool {
+        let most = self.most.get();
+        self.open.get() - self.lingering.get() - self.idle.borrow().len() > most - most / FREE
+    }
+
     pub fn open(&self) -> usize {
         self.open.get()
     }
@@ -297,9 +308,14 @@
                 Err(bad) => return client.turn_away(&bad).await,
             };
             client.kept = true;
-            let mut added = String::new();
+            let (mut added, crowded) = (String::new(), self.crowded());
             let answer = match asked.ask {
                 None => Reply::Ready(self.ready()),
+                Some(ask) if crowded => {
+                    let refused = Answer::Refused { retry_after: NO_PLACE };
+                    self.engine.tally().answered(ask.forward.class, &refused);
+                    Reply::Answer(refused)
+                }
                 Some(ask) => match self.answer_by_rules(client, *ask, &mut added).await {
                     Ok(Some(answer)) => Reply::Answer(answer),
                     // The client has gone.
@@ -307,7 +323,7 @@
                     Err(bad) => return client.turn_away(&bad).await,
                 },
             };
-            let close = asked.close || client.flooded || self.ends_connections();
+            let close = asked.close || client.flooded || crowded || self.ends_connections();
             let written = match answer {
                 Reply::Answer(Answer::Passing(first, rest)) => {
                     self.pass_on(client, first, rest, close, asked.old, &added).await
