--- a/crates/turndeck/src/customer.rs
+++ b/crates/turndeck/src/customer.rs
@@ -12,6 +12,7 @@
 const APART: f64 = 1.5; // times the quota from which a ceiling is in two parts: the quota, and what is above it
 const EPOCH_US: Micros = 3_000_000; // µs; many attempts, and short beside how long a gateway's death should be felt
 pub(crate) const COUNT_TTL_US: Micros = 60_000_000; // µs; life of a count (the counter's most), and of its name
+const GAP_WEIGHT: f64 = 0.5; // of the last time between two requests: of those that come rarely there are few
 const HEARD_US: Micros = 1_500_000; // µs; what was heard counts this long, then the even slice holds
 
 #[derive(Default)]
@@ -24,6 +25,7 @@
     pub ceiling: f64, // units in this gateway's slice of the ceiling
     pub at: Micros,
     pub active_at: Micros,
+    pub gap_us: f64, // mean time between its requests here
     pub open: u32,
     pub demand: Decayed,
     pub others: Decayed,
@@ -76,7 +78,7 @@
         q.most < q.largest * f64::from(self.width)
     }
 
-    /// So many gateways that each sees hardly any of it, and only the counter to tell what the others use.
+    /// So many gateways that each sees hardly any of it, and at most the counter or the meter to tell what the others use.
     pub fn rare(&self, q: &Quota) -> bool {
         q.alone && (q.places || self.width > 1)
     }
@@ -84,7 +86,7 @@
     /// The ceiling is so far above the quota that what it has above can be held apart.
     pub fn apart(&self, q: &Quota) -> bool {
         let far = |c: Ceiling| c.depth >= APART * q.most && c.rate >= APART * q.rate;
-        self.rare(q) && q.ceiling.is_some_and(far)
+        q.counter && self.rare(q) && q.ceiling.is_some_and(far)
     }
 
     /// This gateway's part of what all ask for of late.
@@ -110,8 +112,17 @@
         }
     }
 
+    /// How many times its quota it uses, by the meter: without a counter that is all there is to go by.
+    pub fn busy(&self, q: &Quota, now: Micros) -> f64 {
+        self.ledger.busy_after(now, if q.counter { 0.0 } else { self.gap_us })
+    }
+
     /// A request came.
     pub fn asks(&mut self, now: Micros, units: f64) {
+        if self.active_at > 0 {
+            let gap = now.saturating_sub(self.active_at) as f64;
+            self.gap_us += GAP_WEIGHT * (gap - self.gap_us);
+        }
         self.demand.add(now, RATE_TAU_US, units);
         self.active_at = now;
     }
@@ -208,13 +219,15 @@
     pub places: bool,
     pub ceiling: Option<Ceiling>,
     pub stake: f64,  // what is lost by passing on beyond it, beside the plan where that is most
-    pub alone: bool, // many gateways, which tell each other nothing: there is the counter only
+    pub alone: bool, // many gateways, which tell each other nothing: there is the counter at most
+    pub counter: bool, // there is one
 }
 
 impl Quota {
     /// By plan, while an attempt takes so long. `few`: gateways, of more each has few calls.
     pub fn all(set: &Settings, attempt_s: f64, few: u32) -> Vec<Quota> {
-        let alone = set.counter && set.told_us == 0 && set.gateways > few;
+        let counter = set.counter;
+        let alone = (counter || !set.peer_messages) && set.told_us == 0 && set.gateways > few;
         let cost = |p: &Plan| p.price * p.overrun_cost;
         let most_cost = set.plans.iter().map(cost).fold(0.0, f64::max);
         let store = |p: &Plan| {
@@ -225,7 +238,7 @@
             };
             let places = p.rate <= 0.0 && p.max_open > 0;
             let stake = if most_cost > 0.0 { cost(p) / most_cost } else { 1.0 };
-            Quota { rate, most, largest, places, ceiling: p.ceiling, stake, alone }
+            Quota { rate, most, largest, places, ceiling: p.ceiling, stake, alone, counter }
         };
         set.plans.iter().map(store).collect()
     }
--- a/crates/turndeck/src/ledger.rs
+++ b/crates/turndeck/src/ledger.rs
@@ -17,6 +17,8 @@
 const PEAK_US: f64 = 2_000_000.0;
 /// That a customer uses too much is half forgotten after this: most do so for some seconds.
 const BUSY_FADES_US: f64 = 5_000_000.0;
+/// ...or in the time of so many visits: whoever meets a customer rarely has nothing newer.
+const BUSY_VISITS: f64 = 2.0;
 /// Weight of the meter's last figure.
 const FIGURE: f64 = 0.5;
 /// A unit a second is chance.
@@ -305,8 +307,14 @@
     /// How many times the quota the customer uses, by the meter's last figure; 1 at least. The older it is the less it
     /// says.
     pub fn busy(&self, now: Micros) -> f64 {
+        self.busy_after(now, 0.0)
+    }
+
+    /// The same where it is to last until the customer comes again, so long after.
+    pub fn busy_after(&self, now: Micros, gap_us: f64) -> f64 {
+        let fades_us = BUSY_FADES_US.max(BUSY_VISITS * gap_us);
         let faded = |(at, part): (Micros, f64)| {
-            (part - 1.0).max(0.0) * 0.5f64.powf(now.saturating_sub(at) as f64 / BUSY_FADES_US)
+            (part - 1.0).max(0.0) * 0.5f64.powf(now.saturating_sub(at) as f64 / fades_us)
         };
         1.0 + self.seen.map_or(0.0, faded)
     }
--- a/crates/turndeck/src/policy/attempts.rs
+++ b/crates/turndeck/src/policy/attempts.rs
@@ -105,7 +105,7 @@
         let wait_us = if fill > 0.0 { (units - c.level).max(0.0) / fill * 1e6 } else { 0.0 };
         // Beyond the quota only what earns well is passed on, and only with servers at ease, which one of many gateways
         // cannot see.
-        let (rare, busy, price) = (c.rare(&q), c.ledger.busy(now), &self.set.plans[plan]);
+        let (rare, busy, price) = (c.rare(&q), c.busy(&q, now), &self.set.plans[plan]);
         let at_ease = !rare && fraction >= 1.0 && self.pace.classes.iter().all(|l| l.mean <= 2.0 * l.lowest);
         let (excess, over) = (at_ease && earns_beyond(price), price.overrun_cost);
         let word = c.word(&q, over, now, self.pace.attempt_s);
--- a/crates/turndeck/src/shares.rs
+++ b/crates/turndeck/src/shares.rs
@@ -105,7 +105,16 @@
 
     fn store() -> Quota {
         let (rate, most) = (40.0, 80.0);
-        Quota { rate, most, largest: 1.0, places: false, ceiling: None, stake: 1.0, alone: false }
+        Quota {
+            rate,
+            most,
+            largest: 1.0,
+            places: false,
+            ceiling: None,
+            stake: 1.0,
+            alone: false,
+            counter: false,
+        }
     }
 
     /// Four gateways that used 4, 3, 2, 1 parts of late, as the first of them sees it.
--- a/crates/turndeck/tests/wide_sets.rs
+++ b/crates/turndeck/tests/wide_sets.rs
@@ -62,6 +62,54 @@
     assert!((4..=30).contains(&passed), "{passed} of 200 passed, a sixteenth is due");
 }
 
+/// Many gateways with neither a counter nor each other's word, each with a request of a customer now and then. Its quota is 2
+/// units a second; it asks for so many, one at a time. How many are passed on in each second, `metered` or not.
+fn passed_without_a_counter(per_s: usize, metered: bool) -> Vec<usize> {
+    let mut settings = Settings { gateways: GATEWAYS, counter: false, ..Settings::example() };
+    (settings.peer_messages, settings.told_us, settings.most_units) = (false, 0, 4.0);
+    (settings.plans[0].rate, settings.plans[0].burst) = (2.0, 8.0);
+    (settings.plans[0].overrun_cost, settings.plans[0].price) = (0.6, 1.0);
+    let mut rigs: Vec<Rig> = (0..GATEWAYS)
+        .map(|me| Rig::seeded(Settings { me, ..settings.clone() }, me.into()).listing(4))
+        .collect();
+    let (mut asked, mut passed) = (0, vec![0; 40]);
+    let begins = rigs[0].now;
+    for second in 0..passed.len() {
+        for n in 0..per_s {
+            asked += 1;
+            let rig = &mut rigs[asked * 37 % GATEWAYS as usize];
+            rig.now = begins + (second as u64 * 1_000_000) + (n * 1_000_000 / per_s) as u64;
+            let (id, actions) = rig.ask(|r| (r.width, r.units) = (GATEWAYS, 1.0));
+            let Some(server) = sent(&actions) else { continue };
+            passed[second] += 1;
+            let mut o = Outcome::new(id, 0, server, Status::Served, 0);
+            // Of the last period that is over.
+            let told = passed[second.saturating_sub(1)] as f64 / 2.0;
+            (o.closed, o.metered_use) = (true, metered.then_some(told));
+            rig.tell(Event::Outcome(o));
+        }
+    }
+    passed
+}
+
+/// Guards against a fleet without a counter that refuses nearly all: an even slice is a hundredth of a quota, and says nothing.
+#[test]
+fn without_a_counter_a_customer_within_its_quota_is_passed_on() {
+    for metered in [true, false] {
+        let passed: usize = passed_without_a_counter(1, metered).iter().sum();
+        assert!(passed >= 36, "{passed} of 40, metered {metered}");
+    }
+}
+
+/// Guards against passing all that is asked for where the meter tells of too much.
+#[test]
+fn without_a_counter_a_customer_that_asks_for_too_much_is_held_by_the_meter() {
+    let passed = passed_without_a_counter(12, true);
+    let late: usize = passed[10..].iter().sum();
+    let times = late as f64 / (passed.len() - 10) as f64 / 2.0;
+    assert!((0.75..=2.25).contains(&times), "{times} times its quota of six asked for: {passed:?}");
+}
+
 /// Guards against use that stays untold until its customer comes again, which may be never.
 #[test]
 fn what_was_asked_for_and_not_used_goes_back_though_its_customer_stays_away() {
