A cold server's part goes by the settings, and by answers of servers that are still there

Cause, by a trace of the rates (throughput of one gateway 54 and then 142 a unit of size, of 80 for all that there was): - pace.rs divided the answers of an interval by the size that was ready at its end; servers that were gone had given them. - answers of servers that had been taken from the list counted on as throughput of those that were left. - choice.rs, COLD_GAIN: twice what servers were seen to do, and half as much saved up, whatever tipMultiple the settings give. Change: the most that was ready in the interval divides; only answers of ready servers count; COLD_SHARE times the settings' multiple in place of COLD_GAIN, which is the same at a multiple of 4. Tried and taken back: a quarter saved up in place of a half, not needed.

--- a/crates/turndeck/src/fleet.rs
+++ b/crates/turndeck/src/fleet.rs
@@ -142,11 +142,11 @@
         Some(s.group.clone())
     }
 
-    /// An attempt there ended. How warm the server is; none: it is gone.
-    pub fn ended(&mut self, server: &ServerId, cold: &ColdStart, now: Micros) -> Option<f64> {
+    /// An attempt there ended. How warm the server is, and whether it is ready; none: it is gone.
+    pub fn ended(&mut self, server: &ServerId, cold: &ColdStart, now: Micros) -> Option<(f64, bool)> {
         let s = self.servers.get_mut(server)?;
         s.out = s.out.saturating_sub(1);
-        Some(s.warmth(cold, now))
+        Some((s.warmth(cold, now), s.health == Health::Ready))
     }
 
     pub fn sends_per_s(&self, now: Micros) -> f64 {
--- a/crates/turndeck/src/pace.rs
+++ b/crates/turndeck/src/pace.rs
@@ -19,6 +19,7 @@
     /// The same at an idle server.
     pub work_s: f64,
     done: f64, // answers in this interval
+    size: f64, // most ready size in this interval
 }
 
 impl Pace {
@@ -31,16 +32,26 @@
             attempt_s: 0.0,
             work_s: 0.0,
             done: 0.0,
+            size: 0.0,
         };
         pace.sum_up(classes);
         pace
     }
 
-    /// An attempt ended. How many times the usual time it took.
-    pub fn measure(&mut self, class: usize, units: f64, status: Status, elapsed_us: Micros) -> f64 {
+    /// An attempt ended, at a server that is `ready` or not any more: its answers say nothing of what the others can do. How many
+    /// times the usual time it took.
+    pub fn measure(
+        &mut self,
+        class: usize,
+        units: f64,
+        status: Status,
+        elapsed_us: Micros,
+        ready: bool,
+    ) -> f64 {
         let l = &mut self.classes[class];
         let ratio = l.ratio(units, elapsed_us);
-        self.done += f64::from(u8::from(matches!(status, Status::Served | Status::ServerError)));
+        let answered = matches!(status, Status::Served | Status::ServerError);
+        self.done += f64::from(u8::from(answered && ready));
         if matches!(status, Status::Served | Status::NoAnswer) {
             if let Some(times) = l.times_idle(units, elapsed_us) {
                 self.stretch += STRETCH_WEIGHT * (times.min(STRETCH_MOST) - self.stretch);
@@ -50,10 +61,16 @@
         ratio
     }
 
+    /// So much is ready now. Guards against answers of many servers that count as those of the few that are left.
+    pub fn sized(&mut self, size: f64) {
+        self.size = self.size.max(size);
+    }
+
     /// An interval of so many seconds is over. Which classes have a mean that is worth acting on.
     pub fn interval(&mut self, classes: &[Class], seconds: f64, size: f64) -> Vec<bool> {
         let measured = self.classes.iter_mut().map(ClassLatency::interval).collect();
-        let rate = std::mem::take(&mut self.done) / seconds / size.max(1e-9);
+        let most = std::mem::replace(&mut self.size, size).max(size);
+        let rate = std::mem::take(&mut self.done) / seconds / most.max(1e-9);
         self.throughput = rate.max(self.throughput * PEAK_KEPT);
         self.sum_up(classes);
         measured
--- a/crates/turndeck/src/policy/choice.rs
+++ b/crates/turndeck/src/policy/choice.rs
@@ -14,9 +14,8 @@
 const CHANCE: f64 = 1.5; // slowness up to this is chance: work differs more than servers do
 const CHOICE_CHANCE: f64 = 0.3; // least of a request that is chance in the choice, so gateways begin apart
 const ERROR_COST: f64 = 10.0; // times dearer is a server that fails everything
-const COLD_SHARE: f64 = 0.5; // of the cold budget of one core that this gateway lets itself use
-const COLD_GAIN: f64 = 2.0; // times what servers of its size and warmth were seen to do, it gets at most
-                            // Servers that one of many gateways uses: each is met again within about a second, and each is used by a few.
+const COLD_SHARE: f64 = 0.5; // of the cold budget that all gateways let themselves use: half as much again is saved up
+                             // Servers that one of many gateways uses: each is met again within about a second, and each is used by a few.
 const SUBSET: Size = Size { least: 7, users: 3 };
 const TURN_US: Micros = 4_000_000; // µs; one of its users tries a server that is left alone in each: shorter than words last
 const LOOKED_AT: usize = 64; // servers compared for a request: of more, so many drawn by chance are as good as all
@@ -27,6 +26,7 @@
     pub(super) fn deal(&mut self) {
         let size = |gateways, ready| SUBSET.of(gateways, ready).filter(|_| gateways > FEW as usize);
         self.fleet.deal(&self.set.cold, self.now, size, LOOKED_AT);
+        self.pace.sized(self.fleet.totals(&self.set.cold, self.now).size);
     }
 
     /// Sends left in this gateway's part of a cold server's budget, saved up from a part drawn by chance, so
@@ -38,9 +38,11 @@
         if self.fleet.part < 1.0 && !self.fleet.names.contains(name) {
             return 0.0;
         }
-        let core = cold.tip_multiple / self.pace.work_s * COLD_SHARE / f64::from(self.set.gateways);
+        // What it could do warm for this gateway: one core's work, or more as servers of its size were seen to.
+        let core = 1.0 / self.pace.work_s / f64::from(self.set.gateways);
+        let does = core.max(self.pace.throughput * s.share);
         // Only those that have it in their subset send to it.
-        let rate = warmth * core.max(COLD_GAIN * self.pace.throughput * s.share) / self.fleet.part;
+        let rate = cold.tip_multiple * COLD_SHARE * warmth * does / self.fleet.part;
         let window_s = cold.tip_after_us as f64 / 1e6;
         let saved = s.credit.0 + rate * self.now.saturating_sub(s.credit.1) as f64 / 1e6;
         saved.min((rate * window_s / 2.0).max(1.0))
--- a/crates/turndeck/src/seen.rs
+++ b/crates/turndeck/src/seen.rs
@@ -39,8 +39,8 @@
 
     /// An attempt ended: what it tells of its server and its class.
     pub(crate) fn measure(&mut self, o: &Outcome, class: usize, units: f64, server: &ServerId) {
-        let Some(warmth) = self.fleet.ended(server, &self.set.cold, self.now) else { return };
-        let ratio = self.pace.measure(class, units, o.status, o.elapsed_us) * warmth;
+        let Some((warmth, ready)) = self.fleet.ended(server, &self.set.cold, self.now) else { return };
+        let ratio = self.pace.measure(class, units, o.status, o.elapsed_us, ready) * warmth;
         self.fleet.judge(server, o.status, ratio, self.now, self.set.gateways > FEW);
     }
 }
