--- a/crates/frosthatch/tests/quiet_lists.rs
+++ b/crates/frosthatch/tests/quiet_lists.rs
@@ -138,3 +138,46 @@
     new.asked_again(2);
     assert_eq!(gateway.ask(&Ask::check()).body, "b");
 }
+
+/// Guards against a crowd of idle clients that takes the descriptors which membership and servers need, and the places of those who
+/// ask whether it is ready.
+#[test]
+fn a_crowd_of_idle_clients_leaves_room_for_discovery_when_it_is_back() {
+    let (a, b) = servers();
+    let discovery = Discovery::new("");
+    discovery.mood(Mood::Down);
+    let known = target("a", a.address, 0, "Ready");
+    let text = config_text(discovery.address, None, 1, &known).replace("\"sockets\":256", "\"sockets\":64");
+    let gateway = Gateway::start_with(&text);
+    let crowd: Vec<Client> = (0..200).map(|_| gateway.client()).collect();
+    gateway.wait_ready();
+    assert_eq!(gateway.ask(&Ask::check()).body, "a");
+    discovery.post(true, &target("b", b.address, 0, "Ready"));
+    discovery.mood(Mood::Telling);
+    assert!(until_told(&gateway, "b") < Duration::from_secs(6));
+    drop(crowd);
+}
+
+/// Guards against a restart that waits for what may not come: killed outright and back under its address, with clients still at the
+/// old one's, discovery and the counter silent and a list that is old.
+#[test]
+fn a_process_that_was_killed_is_ready_again_soon_whatever_is_down() {
+    let (a, _b) = servers();
+    let discovery = Discovery::new(&target("a", a.address, 0, "Ready"));
+    let mut first = Gateway::alone(&discovery);
+    let mut crowd: Vec<Client> = (0..50).map(|_| first.client()).collect();
+    crowd.iter_mut().for_each(|c| drop(c.ask_again()));
+    discovery.mood(Mood::Down);
+    let counter = std::net::TcpListener::bind("127.0.0.1:0").expect("a port");
+    let known = target("a", a.address, 0, "Ready");
+    let text = config_text(discovery.address, counter.local_addr().ok(), 1, &known);
+    let text = text.replace("\"listen\":\"127.0.0.1:0\"", &format!("\"listen\":\"{}\"", first.address));
+    first.signal("-KILL");
+    first.wait();
+    let since = Instant::now();
+    let again = Gateway::start_with(&text);
+    again.wait_ready();
+    assert!(since.elapsed() < Duration::from_secs(10), "{:?}", since.elapsed());
+    assert_eq!(again.ask(&Ask::check()).body, "a");
+    drop(crowd);
+}
