--- a/crates/frosthatch/tests/outcomes.rs
+++ b/crates/frosthatch/tests/outcomes.rs
@@ -172,6 +172,28 @@
     }
 }
 
+/// An answer with neither length nor chunks ends with its connection, whether or not it says so (RFC 9112 section 6.3): by a close,
+/// as a reset is no end.
+#[test]
+fn an_answer_without_a_length_ends_by_a_close_and_not_by_a_reset() {
+    for says in ["", "Connection: close\r\n"] {
+        let text = format!("HTTP/1.1 200 OK\r\n{says}\r\nall of it");
+        for resets in [false, true] {
+            let text = text.clone();
+            let server = Server::new(move |_| match resets {
+                true => Reply::Reset(text.clone()),
+                false => Reply::Last(text.clone()),
+            });
+            let discovery = Discovery::new(&target("a", server.address, 0, "Ready"));
+            let answer = Gateway::alone(&discovery).ask(&Ask::top_up().with("X-Expires-In", "2.0"));
+            match resets {
+                true => assert!(failed(&answer), "{says:?}: {answer:?}"),
+                false => assert_eq!((answer.status(), answer.body.as_str()), (200, "all of it"), "{says:?}"),
+            }
+        }
+    }
+}
+
 /// Answers that cannot be believed, whatever their first line says; the connection stays open behind them.
 const SPOILT: [&str; 14] = [
     "HTTP/1.1 200 OK\r\n\r\nfirst",
--- a/crates/standins/src/http.rs
+++ b/crates/standins/src/http.rs
@@ -1,6 +1,6 @@
 //! Servers that answer over HTTP/1.1 as a test says, and clients that read the answers.
 
-use socket2::{Domain, Socket, Type};
+use socket2::{Domain, SockRef, Socket, Type};
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::sync::mpsc::{channel, Receiver, Sender};
@@ -82,6 +82,8 @@
     Twice(String, String),
     /// These bytes, then, a little later, the end of the connection.
     Last(String),
+    /// These bytes, then, a little later, a reset.
+    Reset(String),
     /// The end of the connection.
     End,
     /// Nothing, for as long as the gateway stays.
@@ -223,6 +225,12 @@
                 let _ = write.shutdown(std::net::Shutdown::Both);
                 return;
             }
+            Reply::Reset(bytes) => {
+                let _ = write.write_all(bytes.as_bytes());
+                thread::sleep(Duration::from_millis(30));
+                let _ = SockRef::from(&write).set_linger(Some(Duration::ZERO));
+                return;
+            }
             Reply::End => return,
             Reply::Silence => {
                 let _ = read.read(&mut [0]);
