--- a/crates/engine/src/engine.rs
+++ b/crates/engine/src/engine.rs
@@ -37,10 +37,15 @@
 }
 
 impl Held {
+    /// No answer is owed any more; who it would have gone to, if one was.
+    fn end(&mut self) -> Option<oneshot::Sender<Answer>> {
+        self.answered.set(true);
+        self.answer.take()
+    }
+
     /// Gives the one final answer; whether it had not been given.
     fn give(&mut self, tally: &Tally, answer: Answer) -> bool {
-        let Some(sender) = self.answer.take() else { return false };
-        self.answered.set(true);
+        let Some(sender) = self.end() else { return false };
         tally.answered(self.class, &answer);
         let _ = sender.send(answer);
         true
@@ -236,10 +241,7 @@
     /// The client of a request has gone: what is out for it is called off.
     pub fn client_gone(self: &Rc<Self>, id: RequestId) {
         let open = match self.inner.borrow_mut().held.get_mut(&id) {
-            Some(held) => {
-                held.answered.set(true);
-                held.answer.take().is_some()
-            }
+            Some(held) => held.end().is_some(),
             None => false,
         };
         if open {
--- a/crates/frosthatch/tests/closes.rs
+++ b/crates/frosthatch/tests/closes.rs
@@ -5,22 +5,9 @@
 use common::*;
 use std::io::{ErrorKind, Read, Write};
 use std::net::TcpStream;
-use std::sync::mpsc::{channel, Receiver, Sender};
-use std::sync::Mutex;
 use std::thread;
 use std::time::{Duration, Instant};
 
-/// A server that answers each request when it is told to.
-fn held() -> (Server, Sender<()>) {
-    let (go, gone): (_, Receiver<()>) = channel();
-    let gone = Mutex::new(gone);
-    let server = Server::new(move |_| {
-        let _ = gone.lock().expect("one at a time").recv_timeout(LONG);
-        ok("served")
-    });
-    (server, go)
-}
-
 fn connect(gateway: &Gateway) -> TcpStream {
     let stream = TcpStream::connect(gateway.address).expect("the gateway accepts");
     stream.set_read_timeout(Some(LONG)).expect("a time-out");
@@ -37,7 +24,7 @@
 #[test]
 fn an_answer_that_ends_its_connection_is_not_reset_by_what_came_behind_the_request() {
     for behind in [100, 40_000, 150_000] {
-        let (server, go) = held();
+        let (server, go) = Server::held(|| ok("served"));
         let discovery = Discovery::new(&target("a", server.address, 0, "Ready"));
         let gateway = Gateway::alone(&discovery);
         let mut client = connect(&gateway);
@@ -54,7 +41,7 @@
 /// The same for what is turned away, as ever.
 #[test]
 fn an_error_is_not_reset_by_what_came_behind() {
-    let (server, _go) = held();
+    let (server, _go) = Server::held(|| ok("served"));
     let discovery = Discovery::new(&target("a", server.address, 0, "Ready"));
     let gateway = Gateway::alone(&discovery);
     let mut client = connect(&gateway);
--- a/crates/frosthatch/tests/late_starts.rs
+++ b/crates/frosthatch/tests/late_starts.rs
@@ -2,8 +2,6 @@
 
 mod common;
 use common::*;
-use std::sync::mpsc::{channel, Receiver};
-use std::sync::Mutex;
 use std::thread;
 use std::time::{Duration, Instant};
 
@@ -20,17 +18,6 @@
     gateway
 }
 
-/// A server that answers an error once it is told to.
-fn held() -> (Server, std::sync::mpsc::Sender<()>) {
-    let (go, gone): (_, Receiver<()>) = channel();
-    let gone = Mutex::new(gone);
-    let server = Server::new(move |_| {
-        let _ = gone.lock().expect("one at a time").recv_timeout(LONG);
-        status("500 Internal Server Error")
-    });
-    (server, go)
-}
-
 /// Turns of the gateway's loop, for longer than a client that has gone may be overlooked.
 fn turns(gateway: &Gateway) {
     let since = Instant::now();
@@ -42,7 +29,7 @@
 /// Guards against a second effect: servers remember a key for its window, and the connection for the repeat comes up later.
 #[test]
 fn a_keyed_repeat_does_not_begin_after_its_window() {
-    let (first, go) = held();
+    let (first, go) = Server::held(|| status("500 Internal Server Error"));
     let late = Crowded::new();
     let discovery = Discovery::new(&target("a", first.address, 3, "Ready"));
     let gateway = patient(&discovery, &[("\"windowUs\":7500000", "\"windowUs\":600000")]);
--- a/crates/http1/src/conn.rs
+++ b/crates/http1/src/conn.rs
@@ -165,33 +165,27 @@
 
     /// Writes all of a request, unless it may not begin or the server speaks before it is whole: then it never was.
     async fn send(&self, sending: &Sending<'_>) -> io::Result<()> {
-        let [head, body] = sending.request;
-        let joined = if body.len() <= BODY_BYTES { [head, body].concat() } else { Vec::new() };
-        let parts = if joined.is_empty() { [head, body] } else { [&joined[..], b""] };
-        for part in parts {
-            let mut at = 0;
-            while at < part.len() {
-                self.stream.writable().await?;
-                // No wait from here to the write: what held then holds when the first byte leaves.
-                if sending.written.get() == 0 && !(sending.may)() {
-                    return Err(io::ErrorKind::Interrupted.into());
-                }
-                // Guards against an answer to a request before, which would be taken for this one's: nothing that comes
-                // ahead of a request's last byte answers it.
-                if !self.quiet() {
-                    return Err(spoilt("ahead of its request"));
-                }
-                match self.stream.try_write(&part[at..]) {
-                    Err(e) if e.kind() == io::ErrorKind::WouldBlock => {}
-                    Err(e) => return Err(e),
-                    Ok(n) => {
-                        at += n;
-                        sending.written.set(sending.written.get() + n);
-                    }
-                }
+        let ([head, body], written) = (sending.request, sending.written);
+        let check = || {
+            if written.get() == 0 && !(sending.may)() {
+                return Err(io::ErrorKind::Interrupted.into());
+            }
+            // Guards against an answer to a request before, which would be taken for this one's: nothing that comes ahead of
+            // a request's last byte answers it.
+            if self.quiet() {
+                Ok(())
+            } else {
+                Err(spoilt("ahead of its request"))
             }
+        };
+        if body.len() <= BODY_BYTES {
+            return write_while(&self.stream, &[head, body].concat(), written, check).await;
         }
-        Ok(())
+        write_while(&self.stream, head, written, check).await?;
+        let beyond = Cell::new(0);
+        let done = write_while(&self.stream, body, &beyond, check).await;
+        written.set(head.len() + beyond.get());
+        done
     }
 
     /// Sends a request and reads its answer: whole, or, where its body is longer than `most`, its beginning.
--- a/crates/http1/src/front.rs
+++ b/crates/http1/src/front.rs
@@ -311,17 +311,18 @@
             let (mut added, crowded) = (String::new(), self.crowded());
             let answer = match asked.ask {
                 None => Reply::Ready(self.ready()),
-                Some(ask) if crowded => {
-                    let refused = Answer::Refused { retry_after: NO_PLACE };
-                    self.engine.tally().answered(ask.forward.class, &refused);
-                    Reply::Answer(refused)
+                Some(ask) => {
+                    let answered = match crowded {
+                        true => Ok(self.unsent(ask.forward.class, Answer::Refused { retry_after: NO_PLACE })),
+                        false => self.answer_by_rules(client, *ask, &mut added).await,
+                    };
+                    match answered {
+                        Ok(Some(answer)) => Reply::Answer(answer),
+                        // The client has gone.
+                        Ok(None) => return true,
+                        Err(bad) => return client.turn_away(&bad).await,
+                    }
                 }
-                Some(ask) => match self.answer_by_rules(client, *ask, &mut added).await {
-                    Ok(Some(answer)) => Reply::Answer(answer),
-                    // The client has gone.
-                    Ok(None) => return true,
-                    Err(bad) => return client.turn_away(&bad).await,
-                },
             };
             let close = asked.close || client.flooded || crowded || self.ends_connections();
             let written = match answer {
@@ -715,9 +716,8 @@
                 Ok(0) => return true,
                 Ok(n) => {
                     seen += n;
-                    match self.flooded {
-                        true => {}
-                        false => self.buffer.extend_from_slice(&chunk[..n]),
+                    if !self.flooded {
+                        self.buffer.extend_from_slice(&chunk[..n]);
                     }
                     self.flooded |= self.buffer.len() > HEAD_BYTES;
                 }
--- a/crates/http1/src/message.rs
+++ b/crates/http1/src/message.rs
@@ -55,8 +55,19 @@
 
 /// Writes all of it; `written` tells how far it came, whatever happens.
 pub async fn write_all(stream: &TcpStream, bytes: &[u8], written: &Cell<usize>) -> io::Result<()> {
+    write_while(stream, bytes, written, || Ok(())).await
+}
+
+/// The same as long as `check` is content: it is asked before each write, and nothing waits from then to the write.
+pub async fn write_while(
+    stream: &TcpStream,
+    bytes: &[u8],
+    written: &Cell<usize>,
+    check: impl Fn() -> io::Result<()>,
+) -> io::Result<()> {
     while written.get() < bytes.len() {
         stream.writable().await?;
+        check()?;
         match stream.try_write(&bytes[written.get()..]) {
             Err(e) if e.kind() == io::ErrorKind::WouldBlock => {}
             Err(e) => return Err(e),
--- a/crates/standins/src/http.rs
+++ b/crates/standins/src/http.rs
@@ -4,7 +4,7 @@
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::sync::mpsc::{channel, Receiver, Sender};
-use std::sync::Arc;
+use std::sync::{Arc, Mutex};
 use std::thread;
 use std::time::{Duration, Instant};
 
@@ -139,6 +139,17 @@
         Server { address, seen }
     }
 
+    /// One that answers each request like this, once it is told to.
+    pub fn held(reply: fn() -> Reply) -> (Server, Sender<()>) {
+        let (go, gone) = channel::<()>();
+        let gone = Mutex::new(gone);
+        let server = Server::new(move |_| {
+            let _ = gone.lock().expect("one at a time").recv_timeout(LONG);
+            reply()
+        });
+        (server, go)
+    }
+
     /// The next request, once it has come.
     pub fn request(&self) -> Message {
         loop {
--- a/crates/turndeck/src/policy/attempts.rs
+++ b/crates/turndeck/src/policy/attempts.rs
@@ -18,10 +18,15 @@
 const UNSENT_PERCENT: Micros = 45; // of a request's time, for which it may wait for a server
 
 impl Pending {
+    /// Attempts that may have run, or may yet.
+    fn ran(&self) -> impl Iterator<Item = &Attempt> {
+        self.attempts.iter().filter(|a| a.may_have_run != Some(false))
+    }
+
     /// The effect rule: may a further attempt go to this server now?
     pub(super) fn may_send(&self, set: &Settings, s: &Server, now: Micros) -> bool {
         let over = self.closed || self.streaming || (!set.parallel_attempts && self.out());
-        let mut ran = self.attempts.iter().filter(|a| a.may_have_run != Some(false));
+        let mut ran = self.ran();
         !over
             && match set.classes[self.class].effect {
                 Effect::Repeatable => true,
@@ -42,8 +47,7 @@
     fn begin_within(&self, set: &Settings, now: Micros) -> Micros {
         let useful = self.deadline.saturating_sub(now);
         let Effect::Keyed { window_us, .. } = set.classes[self.class].effect else { return useful };
-        let ran = self.attempts.iter().filter(|a| a.may_have_run != Some(false));
-        ran.map(|a| (a.sent + window_us).saturating_sub(now)).fold(useful, Micros::min)
+        self.ran().map(|a| (a.sent + window_us).saturating_sub(now)).fold(useful, Micros::min)
     }
 
     fn may_refuse(&self, set: &Settings) -> bool {
