--- /dev/null
+++ b/crates/frosthatch/tests/system_calls.rs
@@ -0,0 +1,133 @@
+//! System calls of the gateway that fail as Linux documents: no request is lost by it.
+
+mod common;
+use common::*;
+use std::thread;
+use std::time::{Duration, Instant};
+
+/// Requests in each trial: enough that a fault in some of a hundred calls strikes many of them.
+const REQUESTS: usize = 300;
+
+/// A gateway before one server, both of whose faults are up to the test.
+fn gateway_under(shim: &Shim, changes: &[(&str, &str)]) -> (Server, Discovery, Gateway) {
+    let server = Server::new(|_| ok("served"));
+    let discovery = Discovery::new(&target("a", server.address, 0, "Ready"));
+    let mut text = config_text(discovery.address, None, 1, "");
+    for (from, to) in changes {
+        assert!(text.contains(from), "{from}");
+        text = text.replace(from, to);
+    }
+    let gateway = Gateway::start_under(&text, shim);
+    gateway.wait_ready();
+    (server, discovery, gateway)
+}
+
+/// What became of requests over one kept connection and over new ones: the statuses, 0 for none.
+fn statuses(gateway: &Gateway) -> Vec<u16> {
+    let mut kept = gateway.client();
+    let mut all = Vec::new();
+    for n in 0..REQUESTS {
+        let text = if n % 3 == 0 { Ask::top_up().text() } else { Ask::check().text() };
+        let answer = if n % 2 == 0 { gateway.client().ask(&text) } else { kept.ask(&text) };
+        all.push(answer.as_ref().map_or(0, Message::status));
+        if answer.is_none_or(|a| a.header("Connection") == Some("close")) {
+            kept = gateway.client();
+        }
+    }
+    all
+}
+
+fn share(all: &[u16], status: u16) -> f64 {
+    all.iter().filter(|s| **s == status).count() as f64 / all.len() as f64
+}
+
+/// Guards against a signal that is taken for a client's end: what was interrupted is done again.
+#[test]
+fn interrupted_calls_lose_no_request() {
+    let shim = Shim::new();
+    let (_server, _discovery, gateway) = gateway_under(&shim, &[]);
+    shim.set(Fault::Interrupted, 100);
+    let all = statuses(&gateway);
+    assert_eq!(share(&all, 0), 0.0, "requests without an answer: {all:?}");
+    assert!(share(&all, 200) > 0.95, "{all:?}");
+}
+
+/// Guards against reads and writes that move less than they could.
+#[test]
+fn short_reads_and_writes_lose_no_request() {
+    let shim = Shim::new();
+    let (_server, _discovery, gateway) = gateway_under(&shim, &[]);
+    shim.set(Fault::Short, 900);
+    let all = statuses(&gateway);
+    assert_eq!(share(&all, 200), 1.0, "{all:?}");
+}
+
+/// Guards against a listener that gives up: what cannot be accepted now is accepted later.
+#[test]
+fn failing_accepts_lose_no_request() {
+    let shim = Shim::new();
+    let (_server, _discovery, gateway) = gateway_under(&shim, &[]);
+    shim.set(Fault::Accept, 500);
+    let all = statuses(&gateway);
+    assert_eq!(share(&all, 200), 1.0, "{all:?}");
+}
+
+/// Guards against a connection that is found broken in the midst of an attempt: the request has its one answer, and
+/// what may have run is not run again.
+#[test]
+fn broken_connections_lose_no_request() {
+    let shim = Shim::new();
+    let (_server, _discovery, gateway) = gateway_under(&shim, &[]);
+    shim.set(Fault::Broken, 30);
+    let all = statuses(&gateway);
+    assert_eq!(share(&all, 0), 0.0, "requests without an answer: {all:?}");
+}
+
+/// Guards against a start that a moment's shortage makes fail.
+#[test]
+fn a_shortage_at_the_start_is_waited_out() {
+    let shim = Shim::new();
+    shim.set(Fault::Socket, 700);
+    let server = Server::new(|_| ok("served"));
+    let discovery = Discovery::new(&target("a", server.address, 0, "Ready"));
+    for _ in 0..5 {
+        let gateway = Gateway::start_under(&config_text(discovery.address, None, 1, ""), &shim);
+        gateway.wait_ready();
+    }
+}
+
+/// Guards against a second effect: the process is held up between its last look at the clock and the write, and the
+/// servers have forgotten the key meanwhile.
+#[test]
+fn a_repeat_that_is_held_up_still_comes_within_its_window() {
+    const WINDOW: Duration = Duration::from_millis(600);
+    /// What each limit on time allows the network.
+    const SLACK: Duration = Duration::from_millis(50);
+    let shim = Shim::new();
+    let (first, go) = Server::held(|| status("500 Internal Server Error"));
+    let second = Server::new(|_| ok("twice"));
+    let both = [target("a", first.address, 3, "Ready"), target("b", second.address, 3, "Draining")].join(",");
+    let discovery = Discovery::new(&both.replace("Draining", "Terminating"));
+    let text =
+        config_text(discovery.address, None, 1, "").replace("\"windowUs\":7500000", "\"windowUs\":600000");
+    let gateway = Gateway::start_under(&text, &shim);
+    gateway.wait_ready();
+    let mut client = gateway.client();
+    client.send(&Ask::top_up().text());
+    first.request();
+    let since = Instant::now();
+    discovery.tell(false, &target("b", second.address, 3, "Ready"));
+    shim.set(Fault::StallMs, 145);
+    shim.set(Fault::Stall, 1_000);
+    thread::sleep((WINDOW - Duration::from_millis(50)).saturating_sub(since.elapsed()));
+    let _ = go.send(());
+    let came = loop {
+        match second.seen.recv_timeout(4 * WINDOW) {
+            Ok(Seen::Request(_)) => break Some(since.elapsed()),
+            Ok(_) => {}
+            Err(_) => break None,
+        }
+    };
+    client.answer().expect("an answer");
+    assert!(came.is_none_or(|came| came < WINDOW + SLACK), "the repeat came {came:?} after the first");
+}
--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod program;
 pub mod resolver;
 pub mod shared_counter;
+pub mod shim;
 pub mod zone;
 
 pub use agent::*;
@@ -17,4 +18,5 @@
 pub use program::*;
 pub use resolver::*;
 pub use shared_counter::*;
+pub use shim::*;
 pub use zone::*;
--- a/crates/standins/src/program.rs
+++ b/crates/standins/src/program.rs
@@ -2,6 +2,7 @@
 
 use crate::agent::Discovery;
 use crate::http::{read_message, Message, LONG};
+use crate::shim::Shim;
 use std::io::{BufRead, BufReader, Write};
 use std::net::{SocketAddr, TcpStream};
 use std::path::PathBuf;
@@ -91,8 +92,28 @@
 
     /// What it logs goes line by line to `log`.
     pub fn start_with_log(text: &str, words: &[&str], log: impl Fn(&str) + Send + 'static) -> Gateway {
+        Gateway::start_prepared(text, words, |_| {}, log)
+    }
+
+    /// A gateway whose system calls fail as the shim says.
+    pub fn start_under(text: &str, shim: &Shim) -> Gateway {
+        let prepare = |command: &mut Command| {
+            shim.preload(command);
+        };
+        Gateway::start_prepared(text, &[], prepare, |line| println!("gateway: {line}"))
+    }
+
+    /// The same as [`Gateway::start_with_log`], with a command that `prepare` may add to.
+    pub fn start_prepared(
+        text: &str,
+        words: &[&str],
+        prepare: impl FnOnce(&mut Command),
+        log: impl Fn(&str) + Send + 'static,
+    ) -> Gateway {
         let config = config_file(text);
-        let mut child = command(&config).args(words).spawn().expect("the gateway starts");
+        let mut command = command(&config);
+        prepare(command.args(words));
+        let mut child = command.spawn().expect("the gateway starts");
         let mut lines = BufReader::new(child.stderr.take().expect("stderr"));
         let mut ahead = String::new();
         let address = loop {
@@ -200,6 +221,17 @@
         let _ = self.write.write_all(text.as_bytes());
     }
 
+    /// Whether the gateway has ended the connection by now.
+    pub fn ended(&mut self) -> bool {
+        let _ = self.write.set_nonblocking(true);
+        let ended = match self.write.peek(&mut [0]) {
+            Ok(n) => n == 0,
+            Err(e) => e.kind() != std::io::ErrorKind::WouldBlock,
+        };
+        let _ = self.write.set_nonblocking(false);
+        ended
+    }
+
     /// None if the connection ends first; an answer that does not come at all is a failure of the test.
     pub fn answer(&mut self) -> Option<Message> {
         let waiting = self.read.fill_buf().map_err(|e| e.kind());
