Interrupted calls on sockets are done again, in one place for all parts; listeners wait out a shortage

Cause: http1/message.rs (read_more, fill, peek, write_while) and front.rs (has_gone) took any error but EWOULDBLOCK for the end of a connection. EINTR on a client's connection closed it with its request unanswered; on a server's connection it made a request that had been written whole "may have run", so unsafe ones failed. The counter, Diameter, the console, push sessions and members had the same line each. Ruled out: the accept loop (an error pauses it 5 ms) and epoll (the runtime goes on by itself). At the start socket(), bind() and listen() were called once (frosthatch/handover.rs, serve.rs, fleet.rs, diameter.rs).

--- a/crates/console/src/driver.rs
+++ b/crates/console/src/driver.rs
@@ -3,6 +3,7 @@
 use crate::call::{Call, Wrong};
 use crate::figures::Figures;
 use bytes::Bytes;
+use frosthatch_sockets::Uninterrupted;
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Incoming;
 use hyper::header::{ALLOW, CONTENT_TYPE};
@@ -117,7 +118,7 @@
     let mut http = http1::Builder::new();
     http.keep_alive(false).max_buf_size(HEAD_BYTES).timer(TokioTimer::new()).header_read_timeout(ENDS_WITHIN);
     // What the peer does wrong costs its own connection only.
-    let _ = http.serve_connection(TokioIo::new(stream), serve).await;
+    let _ = http.serve_connection(TokioIo::new(Uninterrupted(stream)), serve).await;
 }
 
 /// `document`: none if it is too long, or did not come whole.
--- a/crates/counter/src/lib.rs
+++ b/crates/counter/src/lib.rs
@@ -2,6 +2,7 @@
 #![forbid(unsafe_code)]
 
 use frosthatch_engine::{Call, Engine};
+use frosthatch_sockets::{connect, uninterrupted};
 use std::cell::Cell;
 use std::collections::VecDeque;
 use std::fmt::Write;
@@ -134,8 +135,8 @@
         let wanted = self.lines.iter().all(|l| l.heard_at.is_some() && !l.waiting.is_empty());
         let may = self.lines.len() < LINES && self.dial.is_none() && self.not_before <= Instant::now();
         if wanted && may {
-            let connect = async move { timeout(CONNECT, TcpStream::connect(address)).await.ok()?.ok() };
-            self.dial = Some((Instant::now(), Box::pin(connect)));
+            let dial = async move { timeout(CONNECT, connect(address)).await.ok()?.ok() };
+            self.dial = Some((Instant::now(), Box::pin(dial)));
         }
     }
 
@@ -210,7 +211,6 @@
 
 impl Line {
     fn new(stream: TcpStream, patience: Duration, usual: Rc<Cell<Duration>>) -> Self {
-        let _ = stream.set_nodelay(true);
         Line {
             stream,
             patience,
@@ -276,7 +276,7 @@
 
     fn write(&mut self) -> io::Result<()> {
         while !self.outgoing.is_empty() {
-            match self.stream.try_write(&self.outgoing) {
+            match uninterrupted(|| self.stream.try_write(&self.outgoing)) {
                 Ok(n) => {
                     self.outgoing.drain(..n);
                     self.written += n as u64;
@@ -291,7 +291,7 @@
     fn read(&mut self, engine: &Rc<Engine>) -> io::Result<()> {
         let mut chunk = [0u8; 4096];
         loop {
-            match self.stream.try_read(&mut chunk) {
+            match uninterrupted(|| self.stream.try_read(&mut chunk)) {
                 Ok(0) => return Err(io::ErrorKind::UnexpectedEof.into()),
                 Ok(n) => {
                     self.heard_at = Some(Instant::now());
--- a/crates/diameter/src/link.rs
+++ b/crates/diameter/src/link.rs
@@ -3,6 +3,7 @@
 use crate::codec::{self, Message};
 use crate::peer::{Cause, Input, Output, Peer, Remote};
 use bytes::{Bytes, BytesMut};
+use frosthatch_sockets::Uninterrupted;
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
 use std::time::Duration;
@@ -124,11 +125,11 @@
     /// Carries the connection until it ends; why it did.
     pub async fn run(
         &self,
-        stream: impl AsyncRead + AsyncWrite,
+        stream: impl AsyncRead + AsyncWrite + Unpin,
         mut to_write: mpsc::Receiver<Vec<u8>>,
         mut event: impl FnMut(Event),
     ) -> String {
-        let (mut read, mut write) = tokio::io::split(stream);
+        let (mut read, mut write) = tokio::io::split(Uninterrupted(stream));
         let writes = async {
             while let Some(bytes) = to_write.recv().await {
                 if write.write_all(&bytes).await.is_err() {
--- a/crates/diameter/src/servers.rs
+++ b/crates/diameter/src/servers.rs
@@ -15,7 +15,6 @@
 use std::rc::{Rc, Weak};
 use std::sync::Arc;
 use std::time::Duration;
-use tokio::net::TcpStream;
 use tokio::sync::oneshot;
 use tokio::task::AbortHandle;
 use tokio::time::{sleep, timeout, timeout_at, Instant};
@@ -170,9 +169,8 @@
                 sleep(PAUSE_LEAST).await;
             }
             let plan = self.plan();
-            let connect = timeout(plan.connect_timeout, TcpStream::connect(address)).await;
+            let connect = timeout(plan.connect_timeout, frosthatch_sockets::connect(address)).await;
             if let Ok(Ok(stream)) = connect {
-                let _ = stream.set_nodelay(true);
                 let again = server.was_up.get();
                 let peer = Peer::new(plan.me.clone(), Role::Server, plan.tw_us, again, seed);
                 let (link, to_write) = Link::new(peer, self.clock.clone(), self.budget.clone());
--- a/crates/frosthatch/src/diameter.rs
+++ b/crates/frosthatch/src/diameter.rs
@@ -8,6 +8,7 @@
 use frosthatch_diameter::peer::Identity;
 use frosthatch_diameter::servers::{self, Servers};
 use frosthatch_engine::Engine;
+use frosthatch_sockets::Sharing;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::net::TcpListener;
@@ -119,7 +120,8 @@
 
     pub async fn join(self, d: Diameter, config: Rc<Config>, engine: Rc<Engine>) -> Result<Spoken, String> {
         let Half { me, tls, servers } = self;
-        let listener = listen(&d).await?;
+        let listener = frosthatch_sockets::listen(d.listen, Sharing::Alone).await;
+        let listener = listener.map_err(|e| cannot_listen(&d, &e))?;
         let plan = to_clients(&d, me.clone(), &config, tls.as_ref());
         let front = Front::new(plan, engine, servers.clone());
         let accepts = spawn_local(front.clone().accept(listener)).abort_handle();
@@ -127,9 +129,13 @@
     }
 }
 
+/// Listens at another address of a new configuration; a reload does not wait for one that is taken.
 async fn listen(d: &Diameter) -> Result<TcpListener, String> {
-    let listener = TcpListener::bind(d.listen).await;
-    listener.map_err(|e| format!("diameter: cannot listen on {}: {e}", d.listen))
+    TcpListener::bind(d.listen).await.map_err(|e| cannot_listen(d, &e))
+}
+
+fn cannot_listen(d: &Diameter, error: &std::io::Error) -> String {
+    format!("diameter: cannot listen on {}: {error}", d.listen)
 }
 
 /// Diameter while it is spoken.
--- a/crates/frosthatch/src/fleet.rs
+++ b/crates/frosthatch/src/fleet.rs
@@ -4,10 +4,10 @@
 use crate::operator::{self, At};
 use frosthatch_members::driver::Member;
 use frosthatch_members::{Fleet, Plan};
+use frosthatch_sockets::bind_datagrams;
 use serde::{Deserialize, Serialize};
 use std::rc::Rc;
 use std::time::{SystemTime, UNIX_EPOCH};
-use tokio::net::UdpSocket;
 use turndeck::Settings;
 
 /// Entries of others' use that may be kept, whatever the operator's file says: some 200 bytes each, a sixteenth of the memory.
@@ -32,8 +32,8 @@
         }
         At::Numbered(all) => (all[me as usize], None, all.clone(), format!("gateway-{me}")),
     };
-    let socket =
-        UdpSocket::bind(listen).await.map_err(|e| format!("fleet: cannot listen on {listen}: {e}"))?;
+    let socket = bind_datagrams(listen).await;
+    let socket = socket.map_err(|e| format!("fleet: cannot listen on {listen}: {e}"))?;
     let bound = socket.local_addr().map_err(|e| format!("fleet: {e}"))?;
     eprintln!("fleet: bound to {bound}");
     let started = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
--- a/crates/frosthatch/src/handover.rs
+++ b/crates/frosthatch/src/handover.rs
@@ -12,7 +12,7 @@
 use std::path::PathBuf;
 use std::rc::Rc;
 use std::time::Duration;
-use tokio::net::{TcpListener, TcpSocket};
+use tokio::net::TcpListener;
 use tokio::sync::Notify;
 
 /// The clients' listener, as it is called between the processes.
@@ -29,15 +29,6 @@
     operator.upgrade.clone().or_else(shared)
 }
 
-/// Listens for clients. Where processes are replaced another may listen there for a while, if it could not hand over.
-pub fn listen(config: &Config, shared: bool) -> std::io::Result<TcpListener> {
-    let socket = if config.listen.is_ipv4() { TcpSocket::new_v4()? } else { TcpSocket::new_v6()? };
-    socket.set_reuseaddr(true)?;
-    socket.set_reuseport(shared)?;
-    socket.bind(config.listen)?;
-    socket.listen(1_024)
-}
-
 /// A mark as the processes tell it.
 pub fn as_told(server: String, mark: membership::Mark) -> Mark {
     Mark { server, out_ms: mark.out_ms, back_ms: mark.back_ms }
--- a/crates/frosthatch/src/serve.rs
+++ b/crates/frosthatch/src/serve.rs
@@ -15,6 +15,7 @@
 use frosthatch_membership::{self as membership, Source};
 use frosthatch_plugins::host::{self as plugins, Plugins};
 use frosthatch_settings::joined;
+use frosthatch_sockets::{listen, Sharing};
 use std::cell::Cell;
 use std::path::Path;
 use std::rc::Rc;
@@ -115,7 +116,11 @@
     let engine = Rc::new(Engine::new(gateway, fleets, calls, ledger, tally, clock.clone()));
     let listener = match inherited.as_ref().and_then(|i| i.listener(handover::CLIENTS, config.listen)) {
         Some(listener) => listener.and_then(TcpListener::from_std),
-        None => handover::listen(&config, meeting_place.is_some()),
+        // Where processes are replaced another may listen there for a while, if it could not hand over.
+        None => {
+            let sharing = if meeting_place.is_some() { Sharing::Shared } else { Sharing::Alone };
+            listen(config.listen, sharing).await
+        }
     };
     let listener = Rc::new(listener.map_err(|e| format!("cannot listen: {e}"))?);
     let address = listener.local_addr().map_err(|e| format!("cannot listen: {e}"))?;
@@ -177,8 +182,8 @@
         tell = Some(teller);
     }
     if let Some(at) = config.console {
-        let listener =
-            TcpListener::bind(at).await.map_err(|e| format!("console: cannot listen on {at}: {e}"))?;
+        let listener = listen(at, Sharing::Alone).await;
+        let listener = listener.map_err(|e| format!("console: cannot listen on {at}: {e}"))?;
         let at = listener.local_addr().map_err(|e| format!("console: {e}"))?;
         eprintln!("console on {at}");
         let tell = tell.clone();
--- a/crates/http1/src/conn.rs
+++ b/crates/http1/src/conn.rs
@@ -4,6 +4,7 @@
 use crate::chunked::{Chunked, Spoilt};
 use crate::message::*;
 use bytes::Bytes;
+use frosthatch_sockets::{connect, ConnectError};
 use httparse::{Status as Parsed, EMPTY_HEADER};
 use std::cell::Cell;
 use std::io;
@@ -152,10 +153,8 @@
 }
 
 impl Conn {
-    pub async fn open(address: SocketAddr) -> io::Result<Conn> {
-        let stream = TcpStream::connect(address).await?;
-        stream.set_nodelay(true)?;
-        Ok(Conn { stream })
+    pub async fn open(address: SocketAddr) -> Result<Conn, ConnectError> {
+        Ok(Conn { stream: connect(address).await? })
     }
 
     /// Whether another request may go over it: it is open and nothing has come that nobody asked for.
--- a/crates/http1/src/front.rs
+++ b/crates/http1/src/front.rs
@@ -7,6 +7,7 @@
 use crate::message::*;
 use bytes::Bytes;
 use frosthatch_engine::{Answer, Arrival, Duplicate, Engine, Protocol, Ruled, Rules, Ruling};
+use frosthatch_sockets::uninterrupted;
 use httparse::{Header, Status as Parsed, EMPTY_HEADER};
 use socket2::SockRef;
 use std::any::Any;
@@ -712,7 +713,7 @@
         let socket = SockRef::from(&self.stream);
         let (mut chunk, mut seen) = ([0; CHUNK], 0);
         while seen < FLOOD_BYTES {
-            match (&*socket).read(&mut chunk) {
+            match uninterrupted(|| (&*socket).read(&mut chunk)) {
                 Ok(0) => return true,
                 Ok(n) => {
                     seen += n;
--- a/crates/http1/src/message.rs
+++ b/crates/http1/src/message.rs
@@ -1,5 +1,6 @@
 //! What both sides of HTTP/1.1 share: bounds, reading and writing, the headers that frame a message.
 
+use frosthatch_sockets::uninterrupted;
 use httparse::Header;
 use socket2::SockRef;
 use std::cell::Cell;
@@ -23,7 +24,7 @@
     loop {
         stream.readable().await?;
         let mut chunk = [0; CHUNK];
-        match stream.try_read(&mut chunk) {
+        match uninterrupted(|| stream.try_read(&mut chunk)) {
             Err(e) if e.kind() == io::ErrorKind::WouldBlock => {}
             Err(e) => return Err(e),
             Ok(n) => {
@@ -41,7 +42,7 @@
     }
     loop {
         stream.readable().await?;
-        match stream.try_read_buf(into) {
+        match uninterrupted(|| stream.try_read_buf(into)) {
             Err(e) if e.kind() == io::ErrorKind::WouldBlock => {}
             done => return done,
         }
@@ -50,7 +51,7 @@
 
 /// Whether something can be read at once, by the socket itself: what the runtime knows of it may be of some time ago.
 pub fn peek(stream: &TcpStream) -> io::Result<usize> {
-    SockRef::from(stream).peek(&mut [MaybeUninit::uninit(); 1])
+    uninterrupted(|| SockRef::from(stream).peek(&mut [MaybeUninit::uninit(); 1]))
 }
 
 /// Writes all of it; `written` tells how far it came, whatever happens.
@@ -68,7 +69,7 @@
     while written.get() < bytes.len() {
         stream.writable().await?;
         check()?;
-        match stream.try_write(&bytes[written.get()..]) {
+        match uninterrupted(|| stream.try_write(&bytes[written.get()..])) {
             Err(e) if e.kind() == io::ErrorKind::WouldBlock => {}
             Err(e) => return Err(e),
             Ok(n) => written.set(written.get() + n),
--- a/crates/members/src/driver.rs
+++ b/crates/members/src/driver.rs
@@ -4,6 +4,7 @@
 use crate::record::Phase;
 use crate::seal::{Keys, MOST_BYTES};
 use frosthatch_engine::{Engine, Ledger};
+use frosthatch_sockets::uninterrupted;
 use std::cell::RefCell;
 use std::rc::Rc;
 use std::time::Duration;
@@ -90,7 +91,7 @@
         for output in out.drain(..) {
             match output {
                 // What does not go out now is told again.
-                Output::Send { to, bytes } => drop(self.socket.try_send_to(&bytes, to)),
+                Output::Send { to, bytes } => drop(uninterrupted(|| self.socket.try_send_to(&bytes, to))),
                 Output::Told { heard, uses, past } => {
                     let engine = self.engine.borrow().clone();
                     engine.inspect(|e| e.told(heard, uses, past));
@@ -120,7 +121,7 @@
                 ready = self.socket.readable() => {
                     for _ in 0..AT_ONCE {
                         // An error is some member's that is not there.
-                        let Ok((n, from)) = self.socket.try_recv_from(&mut buffer) else { break };
+                        let Ok((n, from)) = uninterrupted(|| self.socket.try_recv_from(&mut buffer)) else { break };
                         if ready.is_ok() {
                             self.fleet.borrow_mut().datagram(engine.now(), from, &buffer[..n], &mut out);
                         }
--- a/crates/membership/src/dnssd/driver.rs
+++ b/crates/membership/src/dnssd/driver.rs
@@ -3,13 +3,14 @@
 use super::browser::{Browser, Input, Output};
 use super::{read_anchor, Plan, PushPlan};
 use crate::desk::Desk;
+use frosthatch_sockets::{connect, Uninterrupted};
 use std::collections::HashMap;
 use std::io;
 use std::net::{IpAddr, Ipv4Addr, Ipv6Addr, SocketAddr};
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::io::{AsyncRead, AsyncReadExt, AsyncWrite, AsyncWriteExt};
-use tokio::net::{TcpStream, UdpSocket};
+use tokio::net::UdpSocket;
 use tokio::sync::mpsc;
 use tokio::task::{AbortHandle, JoinSet};
 use tokio::time::{sleep, timeout};
@@ -135,8 +136,7 @@
 }
 
 async fn ask_stream(query: u64, to: SocketAddr, bytes: &[u8], tell: &mpsc::Sender<Came>) -> io::Result<()> {
-    let mut stream = TcpStream::connect(to).await?;
-    stream.set_nodelay(true)?;
+    let mut stream = Uninterrupted(connect(to).await?);
     stream.write_all(&framed(bytes)).await?;
     let bytes = message(&mut stream).await?;
     let _ = tell.send(Came::Stream { query, bytes }).await;
@@ -167,8 +167,7 @@
     to_write: mpsc::Receiver<Vec<u8>>,
 ) -> io::Result<()> {
     let open = async {
-        let stream = TcpStream::connect(to).await?;
-        stream.set_nodelay(true)?;
+        let stream = Uninterrupted(connect(to).await?);
         let Some((file, name)) = &plan.tls else { return Ok::<_, io::Error>((stream, None)) };
         let invalid = |e: String| io::Error::new(io::ErrorKind::InvalidInput, e);
         let roots = read_anchor(file).map_err(invalid)?;
--- a/crates/membership/src/list.rs
+++ b/crates/membership/src/list.rs
@@ -216,7 +216,7 @@
     };
     let open = match conn.filter(Conn::quiet) {
         Some(open) => open,
-        None => Conn::open(address).await.map_err(CallError::Io)?,
+        None => Conn::open(address).await.map_err(|e| CallError::Io(e.into()))?,
     };
     let request = format!("GET {path} HTTP/1.1\r\nHost: {address}\r\n\r\n");
     let written = Cell::new(0);
