Two failing tests: a repeat that is whole after its window, a request that is whole after its client left

A server begins a request when its last byte has come; the gateway asks whether an attempt may begin before its first byte only (http1/conn.rs, Conn::send: `written.get() == 0 && !(sending.may)()`).

--- /dev/null
+++ b/crates/frosthatch/tests/late_bytes.rs
@@ -0,0 +1,104 @@
+//! Requests whose last byte leaves long after the first: what was decided before the first byte still has to hold then.
+//! A server begins a request when its last byte has come, and so do repeats, deadlines and clients' leaving count.
+
+mod common;
+use common::*;
+use socket2::SockRef;
+use std::io::{BufReader, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::sync::mpsc::{channel, Receiver, Sender};
+use std::thread;
+use std::time::{Duration, Instant};
+
+/// More than the system takes over from a sender whose peer does not read.
+const LONG_BODY: usize = 6 << 20;
+
+/// A server that reads nothing of a connection until it is told to, and then all.
+struct Unread {
+    address: SocketAddr,
+    accepted: Receiver<()>,
+    go: Sender<()>,
+    /// What came, and when it was whole; none: the connection ended before.
+    whole: Receiver<Option<(Message, Instant)>>,
+}
+
+impl Unread {
+    fn new() -> Unread {
+        let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+        SockRef::from(&listener).set_recv_buffer_size(4_096).expect("a small buffer");
+        let address = listener.local_addr().expect("an address");
+        let ((tell, accepted), (go, gone), (done, whole)) = (channel(), channel::<()>(), channel());
+        thread::spawn(move || {
+            for stream in listener.incoming().flatten() {
+                let _ = tell.send(());
+                let _ = gone.recv_timeout(LONG);
+                let _ = done.send(read_all(&stream));
+            }
+        });
+        Unread { address, accepted, go, whole }
+    }
+
+    fn whole(&self) -> Option<(Message, Instant)> {
+        self.whole.recv_timeout(LONG).expect("the connection is read to its end")
+    }
+}
+
+fn read_all(stream: &TcpStream) -> Option<(Message, Instant)> {
+    let message = read_message(&mut BufReader::new(stream))?;
+    let at = Instant::now();
+    let _ = (&mut &*stream).write_all(b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok");
+    Some((message, at))
+}
+
+fn gateway(discovery: &Discovery, changes: &[(&str, &str)]) -> Gateway {
+    let mut text =
+        config_text(discovery.address, None, 1, "").replace("\"memory_mb\":32", "\"memory_mb\":192");
+    for (from, to) in changes {
+        assert!(text.contains(from), "{from}");
+        text = text.replace(from, to);
+    }
+    let gateway = Gateway::start_with(&text);
+    gateway.wait_ready();
+    gateway
+}
+
+fn long_top_up() -> Ask {
+    Ask { body: "x".repeat(LONG_BODY), ..Ask::top_up() }
+}
+
+/// Guards against a second effect: the repeat begins within its window, its last byte would come after.
+#[test]
+fn a_keyed_repeat_is_not_whole_after_its_window() {
+    let (first, go) = Server::held(|| status("500 Internal Server Error"));
+    let second = Unread::new();
+    let discovery = Discovery::new(&target("a", first.address, 3, "Ready"));
+    let gateway = gateway(&discovery, &[("\"windowUs\":7500000", "\"windowUs\":1500000")]);
+    let mut client = gateway.client();
+    client.send(&long_top_up().text());
+    first.request();
+    discovery.tell(false, &target("b", second.address, 3, "Ready"));
+    let _ = go.send(());
+    second.accepted.recv_timeout(LONG).expect("the repeat is on its way");
+    thread::sleep(Duration::from_millis(1_700));
+    let _ = second.go.send(());
+    assert!(second.whole().is_none(), "the repeat came whole after the servers had forgotten its key");
+    assert!(client.answer().is_some_and(|a| a.status() != 200));
+}
+
+/// Guards against work for nobody, where attempts may not be called off: one that is not whole has not begun.
+#[test]
+fn what_is_not_whole_when_its_client_leaves_never_is() {
+    for cancel in [true, false] {
+        let server = Unread::new();
+        let discovery = Discovery::new(&target("a", server.address, 0, "Ready"));
+        let gateway = gateway(&discovery, &[("\"cancel\":true", &format!("\"cancel\":{cancel}"))]);
+        let mut client = gateway.client();
+        client.send(&long_top_up().text());
+        server.accepted.recv_timeout(LONG).expect("it is on its way");
+        thread::sleep(Duration::from_millis(50));
+        drop(client);
+        thread::sleep(Duration::from_millis(150));
+        let _ = server.go.send(());
+        assert!(server.whole().is_none(), "it came whole after its client had gone; cancel {cancel}");
+    }
+}
