Rules on attempts hold at the last byte, asked of one permit before each write and counted after it

Cause: an attempt was checked before its first byte only (http1/conn.rs, Conn::send; Start::may in engine/ports.rs), while a server begins a request with its last. And the window left nothing for a gateway that is held up 0.15 s between its clock and the write. Ruled out: the kernel's buffers alone (bodies up to 64 KiB leave in one write on a connection at rest); the decision itself, which kept the window to the microsecond.

Change: engine/rules.rs is the one place. AttemptPermit (in place of Start) is asked before each write, by HTTP with ToldTime, which takes a quarter of the time off for bodies over 64 KiB and withholds the rest of an attempt once it is 50 ms out; that is a connection that never came to be, and charged to the server, as nobody reads there. After the last byte the permit checks again: what broke a rule is counted by Rule, logged with the request's id and shown as svc.rule_violations.NAME. The decisions end a window 0.15 s early and an attempt's use 50 ms before its client leaves, or a quarter of what is left.

--- a/crates/console/src/figures.rs
+++ b/crates/console/src/figures.rs
@@ -19,6 +19,8 @@
     pub hosts_down: usize,
     pub reconfig_ok: u64,
     pub reconfig_failed: u64,
+    /// Rules that were found broken, by name.
+    pub violations: Vec<(&'static str, u64)>,
 }
 
 impl Figures {
@@ -35,6 +37,9 @@
         }
         line("reconfig_ok", self.reconfig_ok, 'c');
         line("reconfig_failed", self.reconfig_failed, 'c');
+        for (rule, count) in &self.violations {
+            line(&format!("rule_violations.{rule}"), *count, 'c');
+        }
         line("inflight", self.inflight as u64, 'g');
         line("hosts_listed", self.hosts_listed as u64, 'g');
         line("hosts_down", self.hosts_down as u64, 'g');
--- a/crates/diameter/src/servers.rs
+++ b/crates/diameter/src/servers.rs
@@ -5,7 +5,7 @@
 use crate::link::{Budget, Event, Link};
 use crate::overload::{announce, Heeded};
 use crate::peer::{Cause, Identity, Peer, Role};
-use frosthatch_engine::{Attempt, Ended, Fleet, Member, Payload, Protocol, Start, State};
+use frosthatch_engine::{Attempt, AttemptPermit, Ended, Fleet, Member, Payload, Protocol, State};
 use rand_pcg::rand_core::SeedableRng;
 use rand_pcg::Pcg64Mcg;
 use rustls::pki_types::ServerName;
@@ -251,7 +251,7 @@
         from: &str,
         again: bool,
         deadline: Instant,
-        start: Start,
+        permit: AttemptPermit,
     ) -> Ended {
         let never = Ended::without_answer(Status::NoConnection);
         let Some(s) = self.servers.borrow().get(id).cloned() else { return never };
@@ -266,7 +266,7 @@
         let hop = link.hop();
         let mut message = forwarded(ccr, from, hop, again);
         announce(&mut message);
-        if !start.may() {
+        if permit.check().is_err() {
             return Ended::without_answer(Status::NotSent);
         }
         let Some(end) = link.send(&message) else { return never };
@@ -358,11 +358,11 @@
 }
 
 impl Payload for Outgoing {
-    fn attempt(&self, server: &ServerId, deadline: Instant, start: Start) -> Attempt {
+    fn attempt(&self, server: &ServerId, deadline: Instant, permit: AttemptPermit) -> Attempt {
         let (ccr, from, servers) = (self.ccr.clone(), self.from.clone(), self.servers.clone());
         let (by, again, server) = (self.answered_by.clone(), self.again.clone(), server.clone());
         Box::pin(async move {
-            let ended = servers.attempt(&server, &ccr, &from, again.get(), deadline, start).await;
+            let ended = servers.attempt(&server, &ccr, &from, again.get(), deadline, permit).await;
             if ended.status == Status::Served {
                 *by.borrow_mut() = Some(server);
             }
--- a/crates/engine/src/engine.rs
+++ b/crates/engine/src/engine.rs
@@ -3,6 +3,7 @@
 
 use crate::clock::Clock;
 use crate::ports::*;
+use crate::rules::{AttemptPermit, Violations, Waiting};
 use crate::tally::Tally;
 use crate::timers::{Due, Timers};
 use std::cell::{Cell, RefCell};
@@ -26,9 +27,10 @@
 struct Held {
     class: usize,
     answer: Option<oneshot::Sender<Answer>>,
-    /// No answer is owed any more: nothing begins.
-    answered: Rc<Cell<bool>>,
+    /// Once nobody waits any more nothing begins.
+    waiting: Waiting,
     answer_by: Instant,
+    gone_at: Instant,
     payload: Box<dyn Payload>,
     /// By number; those that ended are none.
     attempts: Vec<Option<Out>>,
@@ -39,7 +41,7 @@
 impl Held {
     /// No answer is owed any more; who it would have gone to, if one was.
     fn end(&mut self) -> Option<oneshot::Sender<Answer>> {
-        self.answered.set(true);
+        self.waiting.end();
         self.answer.take()
     }
 
@@ -74,6 +76,7 @@
     ledger: Option<Rc<dyn Ledger>>,
     warrant: RefCell<Option<Rc<dyn Warrant>>>,
     tally: Rc<Tally>,
+    violations: Rc<Violations>,
     sooner: Notify,
     clock: Rc<Clock>,
     listed: Cell<bool>,
@@ -105,6 +108,7 @@
             ledger,
             warrant: RefCell::default(),
             tally,
+            violations: Rc::default(),
             sooner: Notify::new(),
             clock,
             listed: Cell::new(false),
@@ -132,6 +136,11 @@
         &self.tally
     }
 
+    /// Rules that were broken so far.
+    pub fn violations(&self) -> &Violations {
+        &self.violations
+    }
+
     /// Requests taken and not yet answered.
     pub fn open(&self) -> usize {
         self.inner.borrow().held.values().filter(|h| h.answer.is_some()).count()
@@ -223,8 +232,9 @@
                 Entry::Vacant(place) => place.insert(Held {
                     class: self.tally.class(&request.class),
                     answer: Some(sender),
-                    answered: Rc::default(),
+                    waiting: Waiting::default(),
                     answer_by,
+                    gone_at,
                     payload,
                     attempts: Vec::new(),
                     timed_out: false,
@@ -368,8 +378,10 @@
         if let (0, Some(warrant)) = (attempt, &*self.warrant.borrow()) {
             warrant.let_in(id);
         }
-        let start = Start::new(since + Duration::from_micros(begins), held.answered.clone());
-        let out = held.payload.attempt(&server, since + Duration::from_micros(ends), start);
+        let latest_start = since + Duration::from_micros(begins);
+        let violations = self.violations.clone();
+        let permit = AttemptPermit::new(id, latest_start, held.gone_at, held.waiting.clone(), violations);
+        let out = held.payload.attempt(&server, since + Duration::from_micros(ends), permit);
         let task = tokio::task::spawn_local(async move {
             let ended = out.await;
             engine.attempt_ended(id, attempt, ended);
--- a/crates/engine/src/lib.rs
+++ b/crates/engine/src/lib.rs
@@ -6,10 +6,12 @@
 mod clock;
 mod engine;
 pub mod ports;
+mod rules;
 mod tally;
 mod timers;
 
 pub use clock::Clock;
 pub use engine::Engine;
 pub use ports::*;
+pub use rules::{AttemptPermit, Rule, ToldTime, Violations, Waiting, Withheld};
 pub use tally::{ClassTally, Tally};
--- a/crates/engine/src/ports.rs
+++ b/crates/engine/src/ports.rs
@@ -1,8 +1,8 @@
 //! What the engine exchanges with fronts, backends, membership sources and counters.
 
+use crate::rules::AttemptPermit;
 use bytes::Bytes;
 use std::any::Any;
-use std::cell::Cell;
 use std::collections::VecDeque;
 use std::future::Future;
 use std::net::SocketAddr;
@@ -73,28 +73,9 @@
 /// What of a client's request goes on to a server, in whatever protocol. Made by the front, for the backend that it
 /// speaks to; the engine only keeps it.
 pub trait Payload {
-    /// One attempt. Whatever happens, it ends by `deadline`; called off, nothing more of it is sent. Where `start` does not
-    /// let it begin any more, it ends as not sent.
-    fn attempt(&self, server: &ServerId, deadline: Instant, start: Start) -> Attempt;
-}
-
-/// Whether an attempt may begin: a backend asks before it writes the first byte, as a connection may come up late. Guards
-/// against a repeat that servers take for a new request, and against work that nobody waits for any more.
-#[derive(Clone)]
-pub struct Start {
-    by: Instant,
-    answered: Rc<Cell<bool>>,
-}
-
-impl Start {
-    /// `answered`: the request has had its final answer, or its client has gone.
-    pub fn new(by: Instant, answered: Rc<Cell<bool>>) -> Self {
-        Start { by, answered }
-    }
-
-    pub fn may(&self) -> bool {
-        !self.answered.get() && Instant::now() < self.by
-    }
+    /// One attempt. Whatever happens, it ends by `deadline`; called off, nothing more of it is sent. Where `permit` does not
+    /// let it be written any more, it ends as not sent.
+    fn attempt(&self, server: &ServerId, deadline: Instant, permit: AttemptPermit) -> Attempt;
 }
 
 /// How an attempt ended, and what its answer told.
--- a/crates/frosthatch/src/console.rs
+++ b/crates/frosthatch/src/console.rs
@@ -4,7 +4,7 @@
 use crate::handover::as_told;
 use crate::policy;
 use frosthatch_console::{Class, Desk, Figures};
-use frosthatch_engine::Engine;
+use frosthatch_engine::{Engine, Rule};
 use frosthatch_handover::driver::{Here, Tell};
 use frosthatch_http1::front::Door;
 use frosthatch_members::driver::Member;
@@ -58,6 +58,7 @@
             hosts_down: not_ready + self.engine.avoided(),
             reconfig_ok: self.reloads[0].get(),
             reconfig_failed: self.reloads[1].get(),
+            violations: Rule::ALL.map(|rule| (rule.name(), self.engine.violations().count(rule))).to_vec(),
         }
     }
 
--- a/crates/frosthatch/tests/late_bytes.rs
+++ b/crates/frosthatch/tests/late_bytes.rs
@@ -102,3 +102,23 @@
         assert!(server.whole().is_none(), "it came whole after its client had gone; cancel {cancel}");
     }
 }
+
+/// Guards against a server that works for longer than its client waits: what the head says holds when the last byte comes.
+#[test]
+fn the_deadline_that_a_server_is_told_holds_at_the_last_byte() {
+    let server = Unread::new();
+    let discovery = Discovery::new(&target("a", server.address, 0, "Ready"));
+    let gateway = gateway(&discovery, &[]);
+    let mut client = gateway.client();
+    let text = long_top_up().with("X-Expires-In", "3.0").text();
+    client.send(&text);
+    let gone_at = Instant::now() + Duration::from_secs(3);
+    server.accepted.recv_timeout(LONG).expect("it is on its way");
+    thread::sleep(Duration::from_millis(1_500));
+    let _ = server.go.send(());
+    if let Some((message, at)) = server.whole() {
+        let told: f64 = message.header("X-Expires-In").and_then(|t| t.parse().ok()).expect("a deadline");
+        let left = gone_at.saturating_duration_since(at).as_secs_f64();
+        assert!(told <= left + 0.15, "told {told} s with {left} s left");
+    }
+}
--- a/crates/http1/src/backend.rs
+++ b/crates/http1/src/backend.rs
@@ -1,10 +1,11 @@
 //! Attempts at servers, and the pool of connections that they use. A connection carries one request at a time and is
 //! closed as soon as it is dropped: nothing is ever sent again by itself.
 
-use crate::conn::{Answer, Conn, Room, Sending, Unread};
+use crate::conn::{Answer, Conn, Progress, Room, Sending, Unread};
 use crate::message::BODY_BYTES;
 use crate::staleness::Staleness;
-use frosthatch_engine::{Attempt, Ended, Fleet, Member, Payload, Protocol, Start, State, Tally};
+use frosthatch_engine::{Attempt, AttemptPermit, Ended, Fleet, Member, Payload, Protocol, State, Tally};
+use frosthatch_engine::{ToldTime, Withheld};
 use std::any::Any;
 use std::cell::{Cell, RefCell};
 use std::collections::{HashMap, HashSet};
@@ -35,9 +36,9 @@
 }
 
 impl Forward {
-    /// The head as a server gets it, when the gateway will wait for `left`.
-    fn head(&self, left: Duration) -> Vec<u8> {
-        let left = format!("X-Expires-In: {:.3}\r\n\r\n", left.as_secs_f64());
+    /// The head as a server gets it.
+    fn head(&self, told: &ToldTime) -> Vec<u8> {
+        let left = format!("X-Expires-In: {:.3}\r\n\r\n", told.span().as_secs_f64());
         [&self.head[..], left.as_bytes()].concat()
     }
 }
@@ -71,9 +72,9 @@
 }
 
 impl Payload for Outgoing {
-    fn attempt(&self, server: &ServerId, deadline: Instant, start: Start) -> Attempt {
+    fn attempt(&self, server: &ServerId, deadline: Instant, permit: AttemptPermit) -> Attempt {
         let (upstream, forward, server) = (self.upstream.clone(), self.forward.clone(), server.clone());
-        Box::pin(async move { upstream.attempt(&server, &forward, deadline, &start).await })
+        Box::pin(async move { upstream.attempt(&server, &forward, deadline, &permit).await })
     }
 }
 
@@ -217,23 +218,32 @@
         server: &ServerId,
         forward: &Forward,
         deadline: Instant,
-        start: &Start,
+        permit: &AttemptPermit,
     ) -> Ended {
         let never = Ended::without_answer(Status::NoConnection);
         let Some((address, gone)) = self.wanted(server) else { return never };
         let connection = timeout_at(deadline, self.connection(server, address));
         let Ok(Some((conn, slot, idle))) = connection.await else { return never };
-        let head = forward.head(deadline.saturating_duration_since(Instant::now()));
+        let told = ToldTime::new(deadline, forward.body.len() > BODY_BYTES);
+        let head = forward.head(&told);
         let length = head.len() + forward.body.len();
-        let (written, withheld) = (Cell::new(0), Cell::new(false));
+        let (written, withheld) = (Cell::new(0), Cell::new(None));
         // While it connected the server may have begun to drain, or moved: nothing new goes there. Nor does what may not
         // begin any more; that says nothing of the server.
-        let may = || {
-            let there = self.wanted(server).is_some_and(|(now, _)| now == address);
-            withheld.set(!there || !start.may());
-            !withheld.get()
+        let may = |progress| {
+            let there = || self.wanted(server).is_some_and(|(now, _)| now == address);
+            let allowed = match progress {
+                Progress::NotBegun if !there() => Err(Withheld::ServerNotReady),
+                Progress::NotBegun => permit.check(),
+                Progress::Begun => permit.check().and_then(|()| told.check()),
+            };
+            withheld.set(allowed.err());
+            allowed
+        };
+        let whole = || {
+            permit.written(Some(told.until()));
+            self.tally.attempted(forward.class);
         };
-        let whole = || self.tally.attempted(forward.class);
         let request = [&head[..], &forward.body[..]];
         let sending = Sending { request, written: &written, may: &may, whole: &whole };
         let begun = Instant::now();
@@ -241,9 +251,16 @@
             answer = timeout_at(deadline, conn.ask(sending, BODY_BYTES)) => answer,
             () = gone.notified() => Ok(Err(io::ErrorKind::ConnectionAborted.into())),
         };
-        if withheld.get() {
-            self.put_back(server, address, conn, slot);
-            return Ended::without_answer(Status::NotSent);
+        match withheld.get() {
+            // The server did not read: nobody is there, for all that can be told.
+            Some(Withheld::ToldTimeStale) => return never,
+            Some(_) => {
+                if written.get() == 0 {
+                    self.put_back(server, address, conn, slot);
+                }
+                return Ended::without_answer(Status::NotSent);
+            }
+            None => {}
         }
         if idle.is_some() && written.get() == 0 && matches!(answer, Ok(Err(_))) {
             // It went stale in the very moment.
--- a/crates/http1/src/conn.rs
+++ b/crates/http1/src/conn.rs
@@ -4,6 +4,7 @@
 use crate::chunked::{Chunked, Spoilt};
 use crate::message::*;
 use bytes::Bytes;
+use frosthatch_engine::Withheld;
 use frosthatch_sockets::{connect, ConnectError};
 use httparse::{Status as Parsed, EMPTY_HEADER};
 use std::cell::Cell;
@@ -135,14 +136,21 @@
     }
 }
 
+/// How far a request has been written.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Progress {
+    NotBegun,
+    Begun,
+}
+
 /// A request on its way.
 pub struct Sending<'a> {
     /// Head and body.
     pub request: [&'a [u8]; 2],
     /// How much has left, whatever happens.
     pub written: &'a Cell<usize>,
-    /// Asked at the last moment before the first byte leaves.
-    pub may: &'a dyn Fn() -> bool,
+    /// Asked at the last moment before each write; told whether anything has left before.
+    pub may: &'a dyn Fn(Progress) -> Result<(), Withheld>,
     /// Called once all of it has left.
     pub whole: &'a dyn Fn(),
 }
@@ -166,9 +174,8 @@
     async fn send(&self, sending: &Sending<'_>) -> io::Result<()> {
         let ([head, body], written) = (sending.request, sending.written);
         let check = || {
-            if written.get() == 0 && !(sending.may)() {
-                return Err(io::ErrorKind::Interrupted.into());
-            }
+            let progress = if written.get() == 0 { Progress::NotBegun } else { Progress::Begun };
+            (sending.may)(progress).map_err(io::Error::other)?;
             // Guards against an answer to a request before, which would be taken for this one's: nothing that comes ahead of
             // a request's last byte answers it.
             if self.quiet() {
--- a/crates/membership/src/list.rs
+++ b/crates/membership/src/list.rs
@@ -221,7 +221,7 @@
     let request = format!("GET {path} HTTP/1.1\r\nHost: {address}\r\n\r\n");
     let written = Cell::new(0);
     let request = [request.as_bytes(), b""];
-    let sending = Sending { request, written: &written, may: &|| true, whole: &|| () };
+    let sending = Sending { request, written: &written, may: &|_| Ok(()), whole: &|| () };
     let answer = open.ask(sending, LIST_BYTES).await.map_err(CallError::Io)?;
     if answer.rest.is_some() {
         return Err(CallError::TooLong);
--- a/crates/turndeck/src/policy/attempts.rs
+++ b/crates/turndeck/src/policy/attempts.rs
@@ -15,8 +15,16 @@
 const PATIENT: f64 = 4.0; // times the usual time of an attempt that one may take while another could follow...
 const LEAST_BOUND: f64 = 0.4; // ...and of the time left at least: most late answers are slow work, not silence
 const UNLEASED_US: f64 = 1_000_000.0; // µs; where no policy is known to hold nothing passes for about a lease
+const HELD_UP_US: Micros = 150_000; // µs; so long a gateway may be held up between reading its clock and writing
+const GONE_SLACK_US: Micros = 100_000; // µs; an attempt may begin so long after its client has gone
 const UNSENT_PERCENT: Micros = 45; // of a request's time, for which it may wait for a server
 
+/// Until when a repeat of this attempt may be written: its last byte comes while servers remember the key, also where the
+/// gateway is held up on the way.
+fn remembered_until(attempt: &Attempt, window_us: Micros) -> Micros {
+    attempt.sent + window_us.saturating_sub(HELD_UP_US)
+}
+
 impl Pending {
     /// Attempts that may have run, or may yet.
     fn ran(&self) -> impl Iterator<Item = &Attempt> {
@@ -37,7 +45,7 @@
                         Scope::Zone => a.group.0 == s.group.0,
                         Scope::Cell => a.group == s.group,
                     };
-                    same && now.saturating_sub(a.sent) < window_us
+                    same && now < remembered_until(a, window_us)
                 }),
             }
     }
@@ -45,9 +53,10 @@
     /// How long from now an attempt may begin: while its answer is of use, and where one that may have run went out before,
     /// while servers remember that one.
     fn begin_within(&self, set: &Settings, now: Micros) -> Micros {
-        let useful = self.deadline.saturating_sub(now);
+        let left = self.deadline.saturating_sub(now);
+        let useful = left - (HELD_UP_US - GONE_SLACK_US).min(left / 4);
         let Effect::Keyed { window_us, .. } = set.classes[self.class].effect else { return useful };
-        self.ran().map(|a| (a.sent + window_us).saturating_sub(now)).fold(useful, Micros::min)
+        self.ran().map(|a| remembered_until(a, window_us).saturating_sub(now)).fold(useful, Micros::min)
     }
 
     fn may_refuse(&self, set: &Settings) -> bool {
