A request's time counts from its last byte, idle ends look once more, and SIGTERM leaves every answer its time

A deadline of over 3 s held the process beyond SIGKILL. Ruled out: the accept queue at the end (looked at until it is empty, closes.rs), connections that linger.

Change: a client's connection knows when it was last looked at; what is there without a wait counts from then, and so does a connection that had to wait to be accepted. Whatever ends an idle connection reads once more first. At SIGTERM the engine is told when the last answer is due (0.55 s and the longest deadline, 3 s at most): what is held, or comes later, has its answer by then; what is not whole 0.1 s before that gets 503. Requests still held when the process ends count as rule_violations.answered.

--- a/crates/engine/src/engine.rs
+++ b/crates/engine/src/engine.rs
@@ -3,7 +3,7 @@
 
 use crate::clock::Clock;
 use crate::ports::*;
-use crate::rules::{AttemptPermit, Violations, Waiting};
+use crate::rules::{AttemptPermit, Rule, Violations, Waiting};
 use crate::tally::Tally;
 use crate::timers::{Due, Timers};
 use std::cell::{Cell, RefCell};
@@ -79,6 +79,8 @@
     violations: Rc<Violations>,
     sooner: Notify,
     clock: Rc<Clock>,
+    /// All requests are answered by then, if the process ends.
+    answer_all_by: Cell<Option<Instant>>,
     listed: Cell<bool>,
     /// Some server was known from before.
     known: Cell<bool>,
@@ -111,6 +113,7 @@
             violations: Rc::default(),
             sooner: Notify::new(),
             clock,
+            answer_all_by: Cell::new(None),
             listed: Cell::new(false),
             known: Cell::new(false),
         }
@@ -220,10 +223,36 @@
         self.inner.borrow().gateway.choices()
     }
 
+    /// The process ends: every request is answered by then, those that come later, too.
+    pub fn answer_all_by(&self, by: Instant) {
+        self.answer_all_by.set(Some(by));
+        let mut inner = self.inner.borrow_mut();
+        let mut sooner = Vec::new();
+        for (id, held) in &mut inner.held {
+            if held.answer.is_some() && held.answer_by > by {
+                held.answer_by = by;
+                sooner.push(*id);
+            }
+        }
+        for id in sooner {
+            self.set(&mut inner, by, Due::Backstop(id.0));
+        }
+    }
+
+    /// The process has come to its end: requests that are still held were never answered, and are counted.
+    pub fn note_unanswered(&self) {
+        for (id, held) in &self.inner.borrow().held {
+            if held.answer.is_some() {
+                self.violations.note(Rule::Answered, Some(*id));
+            }
+        }
+    }
+
     /// Takes a request. Its one answer comes by the receiver before the client leaves.
     pub fn take(self: &Rc<Self>, arrival: Arrival) -> Result<oneshot::Receiver<Answer>, Duplicate> {
         let (sender, receiver) = oneshot::channel();
         let Arrival { mut request, gone_at, payload } = arrival;
+        let gone_at = self.answer_all_by.get().map_or(gone_at, |by| gone_at.min(by));
         let answer_by = gone_at.checked_sub(BACKSTOP).unwrap_or(gone_at);
         {
             let mut inner = self.inner.borrow_mut();
--- a/crates/frosthatch/src/serve.rs
+++ b/crates/frosthatch/src/serve.rs
@@ -29,8 +29,12 @@
 
 /// After SIGTERM connections go on coming for up to 0.4 s.
 const STILL_COMING: Duration = Duration::from_millis(500);
-/// Once the longest deadline has passed after that, nothing is held; SIGKILL may come 0.7 s after it.
+/// Once the longest deadline has passed after that, nothing is held...
 const LAST_ANSWERS: Duration = Duration::from_millis(50);
+/// ...answers are on their way for so long, and the process ends: SIGKILL may come 0.7 s after the longest deadline.
+const LAST_WRITES: Duration = Duration::from_millis(50);
+/// A longer deadline counts as this, as with whoever sends SIGKILL.
+const LONGEST_DEADLINE: Duration = Duration::from_secs(3);
 /// With nothing held any more it is looked so often whether something has come all the same.
 const LAST_LOOKS: u32 = 2;
 /// Answers to a goodbye are awaited for so long, and other gateways told of it.
@@ -188,7 +192,7 @@
         eprintln!("console on {at}");
         let tell = tell.clone();
         let desk = Console {
-            engine,
+            engine: engine.clone(),
             door: door.clone(),
             servers,
             reloads: reloads.clone(),
@@ -252,7 +256,10 @@
             },
         }
     }
-    door.leave();
+    let longest = Duration::from_micros(longest).min(LONGEST_DEADLINE);
+    let answers_until = Instant::now() + STILL_COMING + longest + LAST_ANSWERS;
+    let ends = answers_until + LAST_WRITES;
+    door.leave(answers_until);
     member.iter().for_each(|m| m.set_phase(Phase::Draining));
     if let Some(tell) = &tell {
         let _ = tell.try_send(Here::Terminate);
@@ -260,8 +267,6 @@
     if let Some(spoken) = &diameter {
         spoken.front.leave();
     }
-    let all_answered = Duration::from_micros(longest) + LAST_ANSWERS;
-    let ends = Instant::now() + STILL_COMING + all_answered;
     if door.accepting() {
         sleep(STILL_COMING).await;
     } else {
@@ -284,6 +289,7 @@
         }
     };
     let _ = timeout_at(ends, finish).await;
+    engine.note_unanswered();
     let says_goodbye = diameter.is_some() || member.is_some();
     if let Some(diameter::Spoken { front, servers, .. }) = diameter {
         // Nothing is held any more: both sides hear why their connections end (RFC 6733 section 5.4).
--- a/crates/http1/src/front.rs
+++ b/crates/http1/src/front.rs
@@ -14,11 +14,13 @@
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::fmt::Write;
-use std::future::Future;
+use std::future::{poll_fn, Future};
 use std::io::{self, Read};
-use std::pin::pin;
+use std::net::SocketAddr;
+use std::pin::{pin, Pin};
 use std::rc::Rc;
 use std::str::FromStr;
+use std::task::Poll;
 use std::time::Duration;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::Notify;
@@ -37,6 +39,8 @@
 const NO_ROOM: Duration = Duration::from_secs(1);
 /// Either side of a long answer may make the other wait for so long.
 const STALLS: Duration = Duration::from_secs(10);
+/// After an accept that failed the next one is tried after this.
+const ACCEPT_RETRY_AFTER: Duration = Duration::from_millis(5);
 /// A connection that has served is kept open for so long without a request.
 const KEPT: Duration = Duration::from_secs(5);
 /// When descriptors run short a connection that has served may be closed after this: a request that crosses the close is
@@ -63,6 +67,8 @@
 /// head is thrown away, and so often: nobody can make the gateway do nothing else.
 const FLOOD_PAUSE: Duration = Duration::from_millis(5);
 const FLOOD_BYTES: usize = 64 << 10;
+/// At the end of the process a request that comes whole has at least so long to be answered in.
+const LAST_REQUESTS: Duration = Duration::from_millis(100);
 /// No client waits this long.
 const MOST_PATIENCE_S: f64 = 3_600.0;
 
@@ -77,6 +83,13 @@
 const EMPTY_WITHIN: Duration = Duration::from_millis(2_500);
 const HARDLY_COME: Duration = Duration::from_millis(100);
 
+/// The process ends.
+#[derive(Clone, Copy)]
+struct Leaving {
+    /// Requests that are not whole by then are turned away.
+    requests_until: Instant,
+}
+
 /// A connection on which no request is open.
 struct Idle {
     since: Instant,
@@ -94,7 +107,7 @@
     settings: Settings,
     /// The operator's own, if there are any.
     rules: Option<Rc<dyn Rules>>,
-    leaving: Cell<bool>,
+    leaving: Cell<Option<Leaving>>,
     /// Since when the gateway is emptied, if it is.
     emptying: Cell<Option<Instant>>,
     /// By number.
@@ -119,6 +132,10 @@
     kept: bool,
     /// It has sent more than can be kept: nothing that stands behind can be read as a request.
     flooded: bool,
+    /// When its connection was last looked at: what is there the next time without a wait may have come since.
+    looked_at: Instant,
+    /// When the last of what stands in the buffer came, or before that.
+    arrived_at: Instant,
 }
 
 impl Door {
@@ -129,7 +146,7 @@
         rules: Option<Rc<dyn Rules>>,
         most: usize,
     ) -> Rc<Self> {
-        let (leaving, emptying) = (Cell::new(false), Cell::new(None));
+        let (leaving, emptying) = (Cell::new(None), Cell::new(None));
         let (open, lingering) = (Cell::new(0), Cell::new(0));
         let (idle, most) = (RefCell::default(), Cell::new(most));
         let (accepting, turned) = (Cell::new(true), Notify::new());
@@ -149,9 +166,11 @@
         })
     }
 
-    /// From now on every answer closes its connection.
-    pub fn leave(&self) {
-        self.leaving.set(true);
+    /// From now on every answer closes its connection, and all have been given by that time.
+    pub fn leave(&self, answers_until: Instant) {
+        let requests_until = answers_until.checked_sub(LAST_REQUESTS).unwrap_or(answers_until);
+        self.leaving.set(Some(Leaving { requests_until }));
+        self.engine.answer_all_by(answers_until);
     }
 
     /// Whether new clients may come.
@@ -166,7 +185,7 @@
 
     /// Every answer closes its connection.
     fn ends_connections(&self) -> bool {
-        self.leaving.get() || self.emptying.get().is_some()
+        self.leaving.get().is_some() || self.emptying.get().is_some()
     }
 
     /// From now on clients are sent away: the gateway is not ready and lets go of connections, gently at first.
@@ -193,8 +212,13 @@
     }
 
     /// Idle connections end now, but for those that have hardly come and may be about to ask; the others after their answer.
+    /// In the end there is no time for an answer to what has not come whole: that is turned away.
     pub fn close(&self) {
-        self.close_idle(Duration::ZERO, ASKS_WITHIN);
+        if self.leaving.get().is_some_and(|leaving| Instant::now() >= leaving.requests_until) {
+            self.idle.borrow().values().for_each(|i| i.end.notify_one());
+        } else {
+            self.close_idle(Duration::ZERO, ASKS_WITHIN);
+        }
     }
 
     /// Ends connections that have been idle for so long, those that have never asked after `new`. One on which a request has
@@ -246,23 +270,30 @@
 
     /// Accepts connections for good.
     pub async fn accept(self: Rc<Self>, listener: Rc<TcpListener>) {
+        // Since when connections may have waited to be accepted, if they may.
+        let mut unattended_since = None;
         for number in 0.. {
             while !self.accepting() {
                 self.turned.notified().await;
             }
             // Guards against running out of descriptors: those that are idle make room.
             while self.open() - self.lingering.get() >= self.most.get() - self.most.get() / LINGERING {
+                unattended_since.get_or_insert_with(Instant::now);
                 match self.make_room() {
                     true => yield_now().await,
                     false => sleep(Duration::from_millis(2)).await,
                 }
             }
-            let accepted = tokio::select! {
-                accepted = listener.accept() => accepted,
+            let (accepted, waited) = tokio::select! {
+                accepted = accept_one(&listener) => accepted,
                 () = self.turned.notified() => continue,
             };
+            if waited {
+                unattended_since = None;
+            }
             match accepted {
                 Ok((stream, _)) => {
+                    let looked_at = unattended_since.unwrap_or_else(Instant::now);
                     let door = self.clone();
                     self.open.set(self.open.get() + 1);
                     tokio::task::spawn_local(async move {
@@ -272,6 +303,8 @@
                             buffer: Vec::new(),
                             kept: false,
                             flooded: false,
+                            looked_at,
+                            arrived_at: looked_at,
                         })
                         .await;
                         door.idle.borrow_mut().remove(&number);
@@ -279,7 +312,10 @@
                     });
                 }
                 // Out of descriptors, or the client has left again: the next may do better.
-                Err(_) => sleep(Duration::from_millis(5)).await,
+                Err(_) => {
+                    unattended_since.get_or_insert_with(Instant::now);
+                    sleep(ACCEPT_RETRY_AFTER).await;
+                }
             }
         }
     }
@@ -357,6 +393,8 @@
         let mut by = since + if client.kept { KEPT } else { WHOLE_WITHIN };
         let mut head: Option<Head> = None;
         let (mut begun, mut looked_at) = (false, 0);
+        // Its time is over, and what has come in time is read.
+        let mut read_last = false;
         loop {
             let buffer = &mut client.buffer;
             if !begun && !buffer.is_empty() {
@@ -387,35 +425,39 @@
             }
             if let Some(head) = &mut head {
                 if self.take_body(head, buffer)? {
-                    return Ok(Some(head.asked()));
+                    return Ok(Some(head.asked(client.arrived_at)));
                 }
                 if std::mem::take(&mut head.expects) && !client.write(b"HTTP/1.1 100 Continue\r\n\r\n").await
                 {
                     return Ok(None);
                 }
             }
-            let over = || if begun { Err(BadRequest::Slow) } else { Ok(None) };
+            let leaving = self.leaving.get().is_some_and(|l| Instant::now() >= l.requests_until);
+            let over = || match (begun, leaving) {
+                (false, _) => Ok(None),
+                (true, true) => Err(BadRequest::Leaving),
+                (true, false) => Err(BadRequest::Slow),
+            };
             // A body may take longer the more of it has come, and rests no longer than a head.
             let by = head.as_ref().map_or(by, |h| {
                 let so_far = Duration::from_secs_f64(h.body.len() as f64 / SLOWEST);
                 (by + so_far).min(Instant::now() + BODY_WITHIN)
             });
+            if read_last && !client.has_more() {
+                return over();
+            }
             let in_body = head.is_some();
-            let read = async {
-                match in_body {
-                    true => fill(&client.stream, &mut client.buffer).await,
-                    false => read_more(&client.stream, &mut client.buffer).await,
-                }
-            };
             tokio::select! {
-                read = read => if matches!(read, Ok(0) | Err(_)) {
-                    return Ok(None);
-                },
-                // What has come meanwhile is read first.
-                () = end.notified() => if !peek(&client.stream).is_ok_and(|n| n > 0) {
-                    return over();
-                },
-                () = sleep_until(by) => return over(),
+                read = client.read_some(in_body) => {
+                    if matches!(read, Ok(0) | Err(_)) {
+                        return Ok(None);
+                    }
+                    // A request that has just begun has time to become whole.
+                    read_last &= begun;
+                }
+                // What has come meanwhile is read first, once.
+                () = end.notified(), if !read_last => read_last = true,
+                () = sleep_until(by), if !read_last => read_last = true,
             }
         }
     }
@@ -697,13 +739,47 @@
         }
     }
 
+    /// Whether something can be read at once.
+    fn has_more(&self) -> bool {
+        peek(&self.stream).is_ok_and(|n| n > 0)
+    }
+
+    /// Reads what is there, once something is, and notes when it came; 0 at the end of the connection. Nothing is lost if this
+    /// is dropped while it waits.
+    async fn read_some(&mut self, in_body: bool) -> io::Result<usize> {
+        let mut came_since = self.looked_at;
+        loop {
+            let ready = poll_once(pin!(self.stream.readable())).await;
+            match ready {
+                Some(ready) => ready?,
+                None => {
+                    self.looked_at = Instant::now();
+                    self.stream.readable().await?;
+                    came_since = Instant::now();
+                }
+            }
+            let read = match in_body {
+                true => uninterrupted(|| self.stream.try_read_buf(reserve(&mut self.buffer))),
+                false => try_read_more(&self.stream, &mut self.buffer),
+            };
+            match read {
+                Err(e) if e.kind() == io::ErrorKind::WouldBlock => {}
+                done => {
+                    self.looked_at = Instant::now();
+                    self.arrived_at = came_since;
+                    return done;
+                }
+            }
+        }
+    }
+
     /// Waits for more from the client; whether it has gone.
     async fn listen(&mut self) -> bool {
         if self.flooded {
             sleep(FLOOD_PAUSE).await;
             return self.has_gone();
         }
-        let read = read_more(&self.stream, &mut self.buffer).await;
+        let read = self.read_some(false).await;
         self.flooded |= self.buffer.len() > HEAD_BYTES;
         matches!(read, Ok(0) | Err(_))
     }
@@ -808,11 +884,11 @@
 }
 
 impl Head {
-    /// The request, now that its body is whole: its client's time counts from here.
-    fn asked(&mut self) -> Asked {
+    /// The request, now that its body is whole: its client's time counts from when the last of it came.
+    fn asked(&mut self, arrived_at: Instant) -> Asked {
         let mut ask = self.ask.take();
         if let Some(ask) = &mut ask {
-            ask.gone_at = Instant::now() + ask.patience;
+            ask.gone_at = arrived_at + ask.patience;
             if !ask.safe {
                 // As a length, whatever form it came in.
                 ask.forward.head.extend(format!("Content-Length: {}\r\n", self.body.len()).into_bytes());
@@ -824,6 +900,24 @@
     }
 }
 
+/// Accepts one connection; whether it had to be waited for.
+async fn accept_one(listener: &TcpListener) -> (io::Result<(TcpStream, SocketAddr)>, bool) {
+    let mut accepting = pin!(listener.accept());
+    match poll_once(accepting.as_mut()).await {
+        Some(accepted) => (accepted, false),
+        None => (accepting.await, true),
+    }
+}
+
+/// What a future has at once, if anything.
+async fn poll_once<F: Future + Unpin>(mut future: F) -> Option<F::Output> {
+    poll_fn(|cx| match Pin::new(&mut future).poll(cx) {
+        Poll::Ready(output) => Poll::Ready(Some(output)),
+        Poll::Pending => Poll::Ready(None),
+    })
+    .await
+}
+
 /// Whether an empty line ends a head there, of which all but what stands from `from` has been looked at.
 fn ends_head(buffer: &[u8], from: usize) -> bool {
     let new = &buffer[from.saturating_sub(3)..];
@@ -879,6 +973,8 @@
     /// Long bodies have taken all that there is for them.
     NoRoom,
     Slow,
+    /// The process ends before it could be answered.
+    Leaving,
     Duplicate,
 }
 
@@ -890,7 +986,7 @@
             BadRequest::Path => "404 Not Found",
             BadRequest::Method => "405 Method Not Allowed",
             BadRequest::BodyTooLong => "413 Content Too Large",
-            BadRequest::NoRoom => "503 Service Unavailable",
+            BadRequest::NoRoom | BadRequest::Leaving => "503 Service Unavailable",
             BadRequest::Slow => "408 Request Timeout",
             BadRequest::Duplicate => "409 Conflict",
         }
@@ -913,6 +1009,7 @@
             BadRequest::BodyTooLong => "the body is too long".into(),
             BadRequest::NoRoom => "no room for long requests now".into(),
             BadRequest::Slow => "the request came too slowly".into(),
+            BadRequest::Leaving => "this gateway ends".into(),
             BadRequest::Duplicate => "a request with this id is open".into(),
         }
     }
--- a/crates/http1/src/message.rs
+++ b/crates/http1/src/message.rs
@@ -23,32 +23,43 @@
 pub async fn read_more(stream: &TcpStream, into: &mut Vec<u8>) -> io::Result<usize> {
     loop {
         stream.readable().await?;
-        let mut chunk = [0; CHUNK];
-        match uninterrupted(|| stream.try_read(&mut chunk)) {
+        match try_read_more(stream, into) {
             Err(e) if e.kind() == io::ErrorKind::WouldBlock => {}
-            Err(e) => return Err(e),
-            Ok(n) => {
-                into.extend_from_slice(&chunk[..n]);
-                return Ok(n);
-            }
+            done => return done,
         }
     }
 }
 
+/// Reads what is there by now; 0 at the end of the connection.
+///
+/// # Errors
+/// [`io::ErrorKind::WouldBlock`] if nothing is there.
+pub fn try_read_more(stream: &TcpStream, into: &mut Vec<u8>) -> io::Result<usize> {
+    let mut chunk = [0; CHUNK];
+    let n = uninterrupted(|| stream.try_read(&mut chunk))?;
+    into.extend_from_slice(&chunk[..n]);
+    Ok(n)
+}
+
 /// The same with room for as much as comes at once where much does.
 pub async fn fill(stream: &TcpStream, into: &mut Vec<u8>) -> io::Result<usize> {
-    if into.capacity() - into.len() < CHUNK {
-        into.reserve_exact(4 * CHUNK);
-    }
     loop {
         stream.readable().await?;
-        match uninterrupted(|| stream.try_read_buf(into)) {
+        match uninterrupted(|| stream.try_read_buf(reserve(into))) {
             Err(e) if e.kind() == io::ErrorKind::WouldBlock => {}
             done => return done,
         }
     }
 }
 
+/// Room for as much as comes at once where much does.
+pub fn reserve(into: &mut Vec<u8>) -> &mut Vec<u8> {
+    if into.capacity() - into.len() < CHUNK {
+        into.reserve_exact(4 * CHUNK);
+    }
+    into
+}
+
 /// Whether something can be read at once, by the socket itself: what the runtime knows of it may be of some time ago.
 pub fn peek(stream: &TcpStream) -> io::Result<usize> {
     uninterrupted(|| SockRef::from(stream).peek(&mut [MaybeUninit::uninit(); 1]))
