Failing test: a discovery whose answers take 1.3 s is never heard, and the gateway never gets ready

membership/list.rs gives a call up after 0.5 s, then asks every 150 ms and keeps the last six calls: each is dropped when it is 0.9 s old. Where each answer takes longer than that none is ever heard: with 1.3 s a gateway without known servers did not get ready in 20 s, one that knows some would never hear of a drain.

--- a/crates/frosthatch/tests/quiet_lists.rs
+++ b/crates/frosthatch/tests/quiet_lists.rs
@@ -181,3 +181,25 @@
     assert_eq!(again.ask(&Ask::check()).body, "a");
     drop(crowd);
 }
+
+/// Guards against a discovery that is crowded: its answers come, but later than calls are waited for as a rule.
+#[test]
+fn a_change_is_known_though_each_answer_of_discovery_takes_long() {
+    /// A change counts as told by then.
+    const TOLD_WITHIN: Duration = Duration::from_secs(6);
+    /// A server that drains gets nothing new after this.
+    const GRACE: Duration = Duration::from_millis(500);
+    let (first, second) = (Server::new(|_| ok("first")), Server::new(|_| ok("second")));
+    let discovery = Discovery::new(&target("a", first.address, 0, "Ready"));
+    discovery.delay(Duration::from_millis(1_300));
+    let gateway = Gateway::alone(&discovery);
+    assert_eq!(gateway.ask(&Ask::check()).body, "first");
+    discovery.post(
+        true,
+        &[target("a", first.address, 0, "Terminating"), target("b", second.address, 0, "Ready")].join(","),
+    );
+    sleep(TOLD_WITHIN + GRACE);
+    for _ in 0..10 {
+        assert_eq!(gateway.ask(&Ask::check()).body, "second");
+    }
+}
--- a/crates/standins/src/agent.rs
+++ b/crates/standins/src/agent.rs
@@ -25,6 +25,8 @@
     targets: String,
     mood: Mood,
     calls: u64,
+    /// Each answer comes so much later.
+    delay: Duration,
 }
 
 /// Tells every watch the last thing that it was given.
@@ -37,7 +39,14 @@
     pub fn new(targets: &str) -> Discovery {
         let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
         let address = listener.local_addr().expect("an address");
-        let told = Told { rev: 1, all: true, targets: targets.into(), mood: Mood::Telling, calls: 0 };
+        let told = Told {
+            rev: 1,
+            all: true,
+            targets: targets.into(),
+            mood: Mood::Telling,
+            calls: 0,
+            delay: Duration::ZERO,
+        };
         let told = Arc::new(Mutex::new(told));
         let shared = told.clone();
         thread::spawn(move || {
@@ -53,6 +62,11 @@
         self.told.lock().expect("discovery").mood = mood;
     }
 
+    /// Each answer comes so much later from now on.
+    pub fn delay(&self, delay: Duration) {
+        self.told.lock().expect("discovery").delay = delay;
+    }
+
     /// A change, or a whole list; returns once the gateway has been told and has asked again.
     pub fn tell(&self, all: bool, targets: &str) {
         self.post(all, targets);
@@ -106,6 +120,8 @@
             drop(told);
             thread::sleep(Duration::from_millis(5));
         };
+        let delay = told.lock().expect("discovery").delay;
+        thread::sleep(delay);
         let _ = write!(write, "HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{body}", body.len());
     }
 }
