A discovery that answers late is heard: the oldest call stays out for 4 s while the others are replaced

Change: membership/list.rs, ask_until_told. Six calls are out as before, a new one every 150 ms, so that what discovery knows at its return is known at once; but it is the second oldest that makes room, and the oldest stays for 4 s. With the 1.5 s of the watch before it a change is known within 5.5 s; 6 s are allowed. Ruled out: more calls out (a descriptor each, while crowds fill them); longer calls alone (an outage eats them, and a return is known late, which quiet_lists holds).

--- a/crates/membership/src/list.rs
+++ b/crates/membership/src/list.rs
@@ -22,8 +22,11 @@
 /// After a call that brought nothing the list is asked for at once, without a wait and over a new connection, again this long
 /// after that, and so on: what discovery knows when it is back is known here within this...
 const AGAIN: Duration = Duration::from_millis(150);
-/// ...however long its answer takes, up to so many times that: those before are still heard.
+/// ...with so many calls out at most. The oldest of them stays out while the others are replaced, as a discovery that is
+/// crowded may answer late...
 const CALLS_OUT: usize = 6;
+/// ...for so long: a change counts as told 6 s after discovery had it, and the watch before this has taken up to 1.5 s.
+const LATEST_ANSWER: Duration = Duration::from_secs(4);
 /// A call begins this long after the one before at the earliest, whatever discovery answers.
 const BETWEEN: Duration = Duration::from_millis(20);
 /// A list larger than this is nonsense.
@@ -178,9 +181,12 @@
         tokio::select! {
             _ = again.tick() => {
                 if out.len() >= CALLS_OUT {
-                    out.pop_front();
+                    let oldest: Option<&Outstanding<_>> = out.front();
+                    let oldest_is_lost = oldest.is_some_and(|o| o.made_at.elapsed() >= LATEST_ANSWER);
+                    out.remove(if oldest_is_lost { 0 } else { 1 });
                 }
-                out.push_back(Box::pin(call(address, None, rev.map(|rev| (rev, 0)))));
+                let call = Box::pin(call(address, None, rev.map(|rev| (rev, 0))));
+                out.push_back(Outstanding { made_at: Instant::now(), call });
             }
             (nth, called) = first_of(&mut out), if !out.is_empty() => match called {
                 Ok(told) => return told,
@@ -191,10 +197,16 @@
     }
 }
 
+/// A call whose answer has not come.
+struct Outstanding<F> {
+    made_at: Instant,
+    call: Pin<Box<F>>,
+}
+
 /// Which of them ends first, and how.
-async fn first_of<F: Future + Unpin>(of: &mut VecDeque<F>) -> (usize, F::Output) {
+async fn first_of<F: Future>(of: &mut VecDeque<Outstanding<F>>) -> (usize, F::Output) {
     poll_fn(|cx| {
-        let ended = |(nth, f): (usize, &mut F)| match Pin::new(f).poll(cx) {
+        let ended = |(nth, o): (usize, &mut Outstanding<F>)| match o.call.as_mut().poll(cx) {
             Poll::Ready(output) => Some((nth, output)),
             Poll::Pending => None,
         };
