--- a/crates/engine/src/engine.rs
+++ b/crates/engine/src/engine.rs
@@ -14,6 +14,7 @@
 use tokio::sync::{mpsc, oneshot, Notify};
 use tokio::task::AbortHandle;
 use tokio::time::{sleep_until, Instant};
+use tracing::debug;
 use turndeck::*;
 
 /// What the decisions may use of a client's time ends this long before the client leaves: the way there and a late
@@ -273,6 +274,7 @@
         }
         let left = gone_at.saturating_duration_since(Instant::now() + MARGIN);
         request.patience_us = left.as_micros() as u64;
+        debug!(request = request.id.0, class = %request.class, patience_us = request.patience_us, "request.taken");
         self.feed(Event::Request(request));
         Ok(receiver)
     }
@@ -284,6 +286,7 @@
             None => false,
         };
         if open {
+            debug!(request = id.0, "request.client_gone");
             self.feed(Event::ClientGone(id));
             forget(&mut self.inner.borrow_mut(), id);
         }
@@ -303,6 +306,7 @@
                 held.give(&self.tally, answer);
             }
             let elapsed = out.since.elapsed().as_micros() as Micros;
+            debug!(request = id.0, attempt, server = %out.server.0, status = ?ended.status, elapsed, "attempt.ended");
             let mut outcome = Outcome::new(id, attempt as u32, out.server, ended.status, elapsed);
             outcome.closed = held.answer.is_none();
             outcome.metered_use = ended.metered_use;
@@ -344,6 +348,7 @@
                 let held = inner.held.get_mut(&request);
                 let out = held.and_then(|h| h.attempts.get_mut(attempt as usize)).and_then(Option::take);
                 if let Some(out) = out {
+                    debug!(request = request.0, attempt, server = %out.server.0, "attempt.cancelled");
                     // Ending the task drops its connection, which closes it.
                     out.task.abort();
                     let elapsed = out.since.elapsed().as_micros() as Micros;
@@ -352,12 +357,14 @@
                     forget(inner, request);
                 }
             }
-            Action::Refuse { request, retry_after_us } => {
+            Action::Refuse { request, retry_after_us, reason } => {
+                debug!(request = request.0, reason = reason.name(), "request.refused");
                 self.answer(inner, request, |_| Answer::Refused {
                     retry_after: Duration::from_micros(retry_after_us),
                 });
             }
-            Action::Fail { request } => {
+            Action::Fail { request, reason } => {
+                debug!(request = request.0, reason = reason.name(), "request.failed");
                 self.answer(inner, request, |timed_out| Answer::Failed { timed_out });
             }
             Action::SetTimer { after_us, timer } => {
@@ -407,6 +414,7 @@
         if let (0, Some(warrant)) = (attempt, &*self.warrant.borrow()) {
             warrant.let_in(id);
         }
+        debug!(request = id.0, attempt, server = %server.0, timeout_us = ends, begin_within_us = begins, "attempt.sent");
         let latest_start = since + Duration::from_micros(begins);
         let violations = self.violations.clone();
         let permit = AttemptPermit::new(id, latest_start, held.gone_at, held.waiting.clone(), violations);
@@ -457,6 +465,7 @@
             _ => false,
         };
         if given {
+            debug!(request = id.0, reason = "no_time_left", "request.failed");
             self.feed(Event::ClientGone(id));
             forget(&mut self.inner.borrow_mut(), id);
         }
--- a/crates/frosthatch/src/main.rs
+++ b/crates/frosthatch/src/main.rs
@@ -7,6 +7,7 @@
 mod fleet;
 mod handover;
 mod inquiry;
+mod logging;
 mod node;
 mod operator;
 mod plugin;
@@ -128,6 +129,7 @@
 
 fn main() -> ExitCode {
     let cli = Cli::parse();
+    logging::start();
     let operator = cli.operator.as_deref();
     match cli.command {
         Some(Cmd::Check) => check(operator),
--- a/crates/http1/src/backend.rs
+++ b/crates/http1/src/backend.rs
@@ -17,6 +17,7 @@
 use std::time::Duration;
 use tokio::sync::Notify;
 use tokio::time::{timeout, timeout_at, Instant};
+use tracing::debug;
 use turndeck::{ServerId, Status};
 
 /// A connection is not used again sooner than this after an answer. Guards against a second answer to the same request, which
@@ -251,6 +252,9 @@
             answer = timeout_at(deadline, conn.ask(sending, BODY_BYTES)) => answer,
             () = gone.notified() => Ok(Err(io::ErrorKind::ConnectionAborted.into())),
         };
+        if let Some(reason) = withheld.get() {
+            debug!(server = %server.0, %reason, written = written.get(), "attempt.withheld");
+        }
         match withheld.get() {
             // The server did not read: nobody is there, for all that can be told.
             Some(Withheld::ToldTimeStale) => return never,
--- a/crates/http1/src/front.rs
+++ b/crates/http1/src/front.rs
@@ -26,6 +26,7 @@
 use tokio::sync::Notify;
 use tokio::task::yield_now;
 use tokio::time::{sleep, sleep_until, timeout, Instant};
+use tracing::debug;
 use turndeck::{CustomerId, Effect, RequestId, Settings};
 
 /// A request is whole this long after its first byte, the first of a connection this long after it was accepted:
@@ -136,6 +137,8 @@
     looked_at: Instant,
     /// When the last of what stands in the buffer came, or before that.
     arrived_at: Instant,
+    /// Why the connection ends, as logs name it.
+    close_reason: &'static str,
 }
 
 impl Door {
@@ -305,6 +308,7 @@
                             flooded: false,
                             looked_at,
                             arrived_at: looked_at,
+                            close_reason: "idle",
                         })
                         .await;
                         door.idle.borrow_mut().remove(&number);
@@ -322,7 +326,11 @@
 
     async fn serve(self: &Rc<Self>, mut client: Client) {
         let _ = client.stream.set_nodelay(true);
-        if self.converse(&mut client).await {
+        let number = client.number;
+        debug!(connection = number, "connection.accepted");
+        let orderly = self.converse(&mut client).await;
+        debug!(connection = number, orderly, reason = client.close_reason, "connection.closed");
+        if orderly {
             let most = self.most.get() / LINGERING;
             // Where many end at once, or to make room, the last of them do without.
             if self.lingering.get() < most.max(1) {
@@ -345,6 +353,9 @@
                 Err(bad) => return client.turn_away(&bad).await,
             };
             client.kept = true;
+            if let Some(ask) = &asked.ask {
+                debug!(connection = client.number, request = ask.request.id.0, "request.read");
+            }
             let (mut added, crowded) = (String::new(), self.crowded());
             let answer = match asked.ask {
                 None => Reply::Ready(self.ready()),
@@ -356,7 +367,7 @@
                     match answered {
                         Ok(Some(answer)) => Reply::Answer(answer),
                         // The client has gone.
-                        Ok(None) => return true,
+                        Ok(None) => return client.closes("client_gone", true),
                         Err(bad) => return client.turn_away(&bad).await,
                     }
                 }
@@ -368,8 +379,11 @@
                 }
                 answer => client.write(&answer.text(close, &added)).await,
             };
-            if !written || close {
-                return written;
+            if !written {
+                return client.closes("answer_not_written", false);
+            }
+            if close {
+                return client.closes("last_answer", true);
             }
         }
     }
@@ -450,6 +464,7 @@
             tokio::select! {
                 read = client.read_some(in_body) => {
                     if matches!(read, Ok(0) | Err(_)) {
+                        client.close_reason = "ended_by_client";
                         return Ok(None);
                     }
                     // A request that has just begun has time to become whole.
@@ -804,6 +819,12 @@
         false
     }
 
+    /// Notes why the connection ends; whether in good order.
+    fn closes(&mut self, reason: &'static str, orderly: bool) -> bool {
+        self.close_reason = reason;
+        orderly
+    }
+
     /// Whether all of it was written in time.
     async fn write(&self, text: &[u8]) -> bool {
         timeout(READS_WITHIN, write_all(&self.stream, text, &Cell::new(0))).await.is_ok_and(|w| w.is_ok())
@@ -811,6 +832,8 @@
 
     /// Says what is wrong: nothing behind it is read as a request. Whether all of that was written.
     async fn turn_away(&mut self, bad: &BadRequest) -> bool {
+        self.close_reason = "turned_away";
+        debug!(connection = self.number, status = bad.status(), reason = %bad.text(), "request.turned_away");
         self.write(&response(bad.status(), &bad.headers(), true, bad.text().as_bytes())).await
     }
 
--- a/crates/membership/src/list.rs
+++ b/crates/membership/src/list.rs
@@ -13,6 +13,7 @@
 use std::task::Poll;
 use std::time::Duration;
 use tokio::time::{interval, sleep_until, timeout, Instant, MissedTickBehavior};
+use tracing::debug;
 use turndeck::ListKind;
 
 /// How long a watch waits for news. Short, so that one that has fallen silent is noticed soon.
@@ -151,6 +152,7 @@
                 told
             }
             Err(e) => {
+                debug!(%address, reason = %e, "discovery.call_failed");
                 if !std::mem::replace(&mut failing, true) {
                     eprintln!("discovery: {e}; keeping the last list");
                 }
@@ -167,6 +169,7 @@
             continue;
         }
         rev = Some(list.rev);
+        debug!(rev = list.rev, all = list.all, entries = list.targets.len(), "discovery.told");
         let kind = if list.all { ListKind::Complete } else { ListKind::Partial };
         desk.tell(kind, list.targets);
     }
--- a/crates/turndeck/src/interface.rs
+++ b/crates/turndeck/src/interface.rs
@@ -544,6 +544,43 @@
     },
 }
 
+/// Why a request was not served.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Reason {
+    /// Its class or plan is not among the settings.
+    UnknownClass,
+    /// More customers are active than are kept.
+    TooManyCustomers,
+    /// Nobody knows under which policy requests may be let in.
+    NoLease,
+    /// Its customer's quota is used up, as far as is known.
+    Quota,
+    /// It would pass its customer's ceiling.
+    Ceiling,
+    /// Servers are pressed, and it is among those that are left out.
+    Pressure,
+    /// No server took it within the part of its time that it may wait.
+    NoServer,
+    /// Its attempts failed, and no further one may go out.
+    AttemptsFailed,
+}
+
+impl Reason {
+    /// As logs name it.
+    pub fn name(self) -> &'static str {
+        match self {
+            Reason::UnknownClass => "unknown_class",
+            Reason::TooManyCustomers => "too_many_customers",
+            Reason::NoLease => "no_lease",
+            Reason::Quota => "quota",
+            Reason::Ceiling => "ceiling",
+            Reason::Pressure => "pressure",
+            Reason::NoServer => "no_server",
+            Reason::AttemptsFailed => "attempts_failed",
+        }
+    }
+}
+
 /// What a gateway does.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Action {
@@ -572,11 +609,15 @@
         request: RequestId,
         /// How long to stay away; 0: no advice.
         retry_after_us: Micros,
+        /// Why; for logs and figures.
+        reason: Reason,
     },
     /// Final answer: failed, with no promise.
     Fail {
         /// The request.
         request: RequestId,
+        /// Why; for logs and figures.
+        reason: Reason,
     },
     /// Wake the gateway.
     SetTimer {
--- a/crates/turndeck/src/policy/attempts.rs
+++ b/crates/turndeck/src/policy/attempts.rs
@@ -75,8 +75,8 @@
         self.fleet.look(&set.cold, now);
         let class = set.classes.iter().position(|c| c.name == r.class);
         let plan = set.plans.iter().position(|p| p.name == r.plan);
-        let never = Action::Refuse { request: r.id, retry_after_us: set.max_retry_after_us };
-        let (Some(class), Some(plan)) = (class, plan) else { return out.push(never) };
+        let never = |reason| Action::Refuse { request: r.id, retry_after_us: set.max_retry_after_us, reason };
+        let (Some(class), Some(plan)) = (class, plan) else { return out.push(never(Reason::UnknownClass)) };
         let units = if r.units.is_finite() { r.units.max(0.0) } else { set.most_units };
         let cell = class * set.plans.len() + plan;
         // What it takes of the quota: its units, or one place where only open attempts are capped.
@@ -94,7 +94,8 @@
             now.saturating_add(r.patience_us / 100 * UNSENT_PERCENT).min(deadline - MARGIN_US.min(deadline));
         self.cells[cell].arrivals += 1.0;
         self.pace.classes[class].came(units);
-        let Some(c) = self.customer(tag, plan, width, keeper, place) else { return out.push(never) };
+        let too_many = never(Reason::TooManyCustomers);
+        let Some(c) = self.customer(tag, plan, width, keeper, place) else { return out.push(too_many) };
         c.asks(now, units);
         let (pool, pin, lower) = (r.pool, r.pin, r.lower);
         let of = Pending { class, cell, customer: tag, units, draws, pool, pin, lower, ..Pending::default() };
@@ -106,12 +107,14 @@
     pub(super) fn decide(&mut self, id: RequestId, answered: bool, out: &mut Vec<Action>) {
         let Some(p) = self.requests.get(&id).filter(|p| !p.closed) else { return };
         if self.standing == Standing::Closed {
-            return self.finish(id, UNLEASED_US, out);
+            return self.finish(id, UNLEASED_US, Reason::NoLease, out);
         }
         let (now, class, customer, units, lower) = (self.now, p.class, p.customer, p.draws, p.lower);
         let (fraction, plan) = (self.cells[p.cell].fraction, p.cell % self.set.plans.len());
         let q = self.quotas[plan];
-        let Some(c) = self.customers.get_mut(&customer) else { return self.finish(id, 0.0, out) };
+        let Some(c) = self.customers.get_mut(&customer) else {
+            return self.finish(id, 0.0, Reason::TooManyCustomers, out);
+        };
         self.peers.tell(now, &self.set, &q, c);
         c.refill(&q, now);
         let fill = if q.places { 0.0 } else { q.rate * c.part(&q, now) };
@@ -134,7 +137,7 @@
             let fraction = if lower { fraction * fraction } else { fraction };
             let lucky = fraction >= 1.0 || chance(&mut self.rng) < fraction;
             if !lucky || self.crowded(class, plan) {
-                return self.finish(id, self.bound(class), out);
+                return self.finish(id, self.bound(class), Reason::Pressure, out);
             }
             if known.is_none() && self.ask(id, out) {
                 return;
@@ -146,7 +149,7 @@
             false => {
                 // What could not be told yet may be why it looks used up.
                 self.post(customer, out);
-                self.finish(id, wait_us, out);
+                self.finish(id, wait_us, Reason::Quota, out);
             }
         }
     }
@@ -160,8 +163,13 @@
         let may = if first { self.standing == Standing::Open } else { !spent && left > MARGIN_US };
         let choice = if may { self.choose(id) } else { None };
         let late = now >= unsent_by;
-        if choice.is_none() && (!first || late) || first && choice.is_some() && !self.draw(id, out) {
-            return self.finish(id, self.bound(class), out);
+        let given_up = match &choice {
+            None if !first => Some(Reason::AttemptsFailed),
+            None => late.then_some(Reason::NoServer),
+            Some(_) => (first && !self.draw(id, out)).then_some(Reason::Ceiling),
+        };
+        if let Some(reason) = given_up {
+            return self.finish(id, self.bound(class), reason, out);
         }
         let Some((server, saved)) = choice else {
             // Nothing to send to: held until the list changes, answered while its client can still try elsewhere.
@@ -201,11 +209,11 @@
     }
 
     /// The final answer: refused where the effect rule allows it, with a wait, else failed.
-    pub(super) fn finish(&mut self, id: RequestId, wait_us: f64, out: &mut Vec<Action>) {
+    pub(super) fn finish(&mut self, id: RequestId, wait_us: f64, reason: Reason, out: &mut Vec<Action>) {
         let Some(p) = self.requests.get(&id).filter(|p| !p.closed) else { return };
         let wait_us = (wait_us.max(RETRY_AFTER_MIN_US) as Micros).min(self.set.max_retry_after_us);
-        let refuse = Action::Refuse { request: id, retry_after_us: wait_us };
-        out.push(if p.may_refuse(&self.set) { refuse } else { Action::Fail { request: id } });
+        let refuse = Action::Refuse { request: id, retry_after_us: wait_us, reason };
+        out.push(if p.may_refuse(&self.set) { refuse } else { Action::Fail { request: id, reason } });
         self.close(id, out);
     }
 
--- a/crates/turndeck/src/policy/mod.rs
+++ b/crates/turndeck/src/policy/mod.rs
@@ -56,7 +56,9 @@
             Event::ClientGone(id) => self.close(id, out),
             Event::Timer(Timer::Interval) => self.on_interval(out),
             Event::Timer(Timer::Customer(tag)) => self.on_customer_timer(tag, out),
-            Event::Timer(Timer::Request(id)) if self.waiting.contains(&id) => self.finish(id, 0.0, out),
+            Event::Timer(Timer::Request(id)) if self.waiting.contains(&id) => {
+                self.finish(id, 0.0, Reason::NoServer, out)
+            }
             Event::Timer(Timer::Request(id)) => self.unanswered(id, out),
             Event::Peer { from, bytes } => self.hear_peer(from, &bytes, out),
             Event::Gateways(gateways) => {
--- a/crates/turndeck/tests/replay.rs
+++ b/crates/turndeck/tests/replay.rs
@@ -299,8 +299,15 @@
                 0
             }
             Action::Cancel { .. } => 1,
-            Action::Refuse { .. } => 2,
-            Action::Fail { .. } => 3,
+            // Reasons are for logs.
+            Action::Refuse { request, retry_after_us, reason: _ } => {
+                told = format!("Refuse {{ request: {request:?}, retry_after_us: {retry_after_us} }}");
+                2
+            }
+            Action::Fail { request, reason: _ } => {
+                told = format!("Fail {{ request: {request:?} }}");
+                3
+            }
             Action::SetTimer { after_us, timer } => {
                 self.later(after_us, g, Event::Timer(timer));
                 7
--- a/crates/turndeck/tests/streams.rs
+++ b/crates/turndeck/tests/streams.rs
@@ -111,7 +111,7 @@
                         out.push((*request, *n, server.clone(), now));
                         *n += 1;
                     }
-                    Action::Refuse { request, .. } | Action::Fail { request } => {
+                    Action::Refuse { request, .. } | Action::Fail { request, .. } => {
                         *answered.entry(*request).or_default() += 1;
                         assert_eq!(answered[request], 1, "one answer each");
                         assert!(now <= deadlines[request], "answered in time");
--- a/crates/wirehost/src/wire.rs
+++ b/crates/wirehost/src/wire.rs
@@ -369,10 +369,10 @@
                 Out::Issue { i, id: text(request), server: server.0.to_string(), timeout_us }
             }
             Action::Cancel { request, attempt } => Out::Revoke { i, id: text(request), leg: attempt },
-            Action::Refuse { request, retry_after_us } => {
+            Action::Refuse { request, retry_after_us, reason: _ } => {
                 Out::Decline { i, id: text(request), backoff_us: retry_after_us }
             }
-            Action::Fail { request } => Out::Fail { i, id: text(request) },
+            Action::Fail { request, reason: _ } => Out::Fail { i, id: text(request) },
             Action::SetTimer { after_us, timer } => {
                 let name = match timer {
                     Timer::Interval => "interval".into(),
