--- a/crates/frosthatch/tests/system_calls.rs
+++ b/crates/frosthatch/tests/system_calls.rs
@@ -83,6 +83,29 @@
     assert_eq!(share(&all, 0), 0.0, "requests without an answer: {all:?}");
 }
 
+/// Guards against servers that are blamed for what this machine lacks: what could not be connected is tried again in the
+/// request's time, and costs neither a server its standing nor the budget of retries.
+#[test]
+fn a_shortage_of_this_machine_is_no_fault_of_the_servers() {
+    let closing = |_: &Message| {
+        Reply::Bytes("HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: 6\r\n\r\nserved".into())
+    };
+    for fault in [Fault::Connect, Fault::Socket] {
+        let shim = Shim::new();
+        let servers: Vec<Server> = (0..3).map(|_| Server::new(closing)).collect();
+        let one = |(n, s): (usize, &Server)| target(&format!("s{n}"), s.address, 0, "Ready");
+        let list: Vec<String> = servers.iter().enumerate().map(one).collect();
+        let discovery = Discovery::new(&list.join(","));
+        let gateway = Gateway::start_under(&config_text(discovery.address, None, 1, ""), &shim);
+        gateway.wait_ready();
+        shim.set(fault, 600);
+        let all = statuses(&gateway);
+        assert!(share(&all, 200) >= 0.95, "{fault:?}: {} served", share(&all, 200));
+        shim.set(fault, 0);
+        assert_eq!(share(&statuses(&gateway), 200), 1.0, "{fault:?}: right after it");
+    }
+}
+
 /// Guards against a start that a moment's shortage makes fail.
 #[test]
 fn a_shortage_at_the_start_is_waited_out() {
