Starts of servers are worked out once by the wall clock of that moment; a local shortage is no fault of servers

Cause: engine/clock.rs read the wall clock once and added a monotonic span; a start told by another clock was compared with that (turndeck/server.rs, warmth). Now engine/starts.rs works a start out when it is first told, as an age by the wall clock of that moment, and monotonic time counts from there; told again it is not worked out again. A server that joins is no older than the list before it (2.5 s are allowed for a list that tells late), one that starts again no older than what was told of it last. A start in the future is now, but where more than half of the first list lies ahead these servers were up, and are warm. Marks by hand (roster.rs) are taken by the wall clock as well, as they are compared with starts. Ruled out: members' incarnations (fleet.rs, claimed: a young process takes over a name whatever its incarnation).

Cause: backend.rs mapped every failure of a connection to NoConnection, which counts against the server (weight 0.8) and costs a retry. sockets::ConnectError tells this machine's from the peer's by errno; the attempt waits and tries again, 5 ms later and 500 times a second in all at most, while it may begin, and also where all descriptors for servers are taken. What was not sent costs no retry and no standing.

--- a/crates/engine/src/engine.rs
+++ b/crates/engine/src/engine.rs
@@ -4,6 +4,7 @@
 use crate::clock::Clock;
 use crate::ports::*;
 use crate::rules::{AttemptPermit, Rule, Violations, Waiting};
+use crate::starts::{ServerStarts, Told};
 use crate::tally::Tally;
 use crate::timers::{Due, Timers};
 use std::cell::{Cell, RefCell};
@@ -82,6 +83,7 @@
     clock: Rc<Clock>,
     /// All requests are answered by then, if the process ends.
     answer_all_by: Cell<Option<Instant>>,
+    starts: RefCell<ServerStarts>,
     listed: Cell<bool>,
     /// Some server was known from before.
     known: Cell<bool>,
@@ -115,6 +117,7 @@
             sooner: Notify::new(),
             clock,
             answer_all_by: Cell::new(None),
+            starts: RefCell::default(),
             listed: Cell::new(false),
             known: Cell::new(false),
         }
@@ -155,7 +158,12 @@
         self.inner.borrow().gateway.avoided()
     }
 
-    /// Unix time in microseconds, by a clock that only goes forward.
+    /// The wall clock now, in microseconds since 1970.
+    pub fn wall(&self) -> Micros {
+        self.clock.wall()
+    }
+
+    /// Microseconds, by a clock that only goes forward.
     pub fn now(&self) -> Micros {
         self.clock.now()
     }
@@ -165,6 +173,8 @@
         if kind == ListKind::Partial && members.is_empty() {
             return;
         }
+        let told = if self.listed.get() { Told::Later } else { Told::First };
+        let starts = self.starts.borrow_mut().of(self.now(), self.clock.wall(), told, &members);
         match kind {
             ListKind::Persisted => self.known.set(!members.is_empty()),
             _ => self.listed.set(true),
@@ -172,12 +182,12 @@
         for fleet in &self.fleets {
             fleet.update(kind != ListKind::Partial, &members);
         }
-        let entries = members.into_iter().map(|t| ServerEntry {
+        let entries = members.into_iter().zip(starts).map(|(t, started_us)| ServerEntry {
             server: ServerId(t.uid.into()),
             zone: t.zone,
             cell: t.cell,
             share: t.share,
-            started_us: t.boot_ms.saturating_mul(1_000),
+            started_us,
             health: match t.state {
                 State::Ready => Health::Ready,
                 State::Draining => Health::Draining,
--- a/crates/engine/src/lib.rs
+++ b/crates/engine/src/lib.rs
@@ -7,6 +7,7 @@
 mod engine;
 pub mod ports;
 mod rules;
+mod starts;
 mod tally;
 mod timers;
 
--- a/crates/frosthatch/tests/clocks.rs
+++ b/crates/frosthatch/tests/clocks.rs
@@ -87,6 +87,7 @@
         let all: Vec<_> = steps.iter().map(|step| scope.spawn(|| sent_to_a_cold_server(*step))).collect();
         all.into_iter().map(|t| t.join().expect("a trial ends")).collect()
     });
+    println!("sent in the window, by step in ms: {steps:?} {sent:?}");
     let still = sent[0];
     for (step, sent) in steps.iter().zip(&sent) {
         assert!(*sent <= still + still / 2 + 10, "{sent} with a step of {step} ms, {still} with none");
@@ -112,5 +113,6 @@
         let all: Vec<_> = steps.iter().map(|step| scope.spawn(move || trial(*step))).collect();
         all.into_iter().map(|t| t.join().expect("a trial ends")).collect()
     });
+    println!("served, by step in ms: {steps:?} {served:?}");
     assert!(served.iter().all(|share| *share >= 0.99), "{steps:?} ms: {served:?}");
 }
--- a/crates/frosthatch/tests/system_calls.rs
+++ b/crates/frosthatch/tests/system_calls.rs
@@ -100,6 +100,7 @@
         gateway.wait_ready();
         shim.set(fault, 600);
         let all = statuses(&gateway);
+        println!("{fault:?}: {} served", share(&all, 200));
         assert!(share(&all, 200) >= 0.95, "{fault:?}: {} served", share(&all, 200));
         shim.set(fault, 0);
         assert_eq!(share(&statuses(&gateway), 200), 1.0, "{fault:?}: right after it");
--- a/crates/http1/src/backend.rs
+++ b/crates/http1/src/backend.rs
@@ -16,7 +16,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::sync::Notify;
-use tokio::time::{timeout, timeout_at, Instant};
+use tokio::time::{sleep_until, timeout, timeout_at, Instant};
 use tracing::debug;
 use turndeck::{ServerId, Status};
 
@@ -25,6 +25,19 @@
 /// connections rest less than they would for want of this; one more is opened where all of them do.
 const REST: Duration = Duration::from_millis(25);
 
+/// A connection that this machine could not make is tried again after this...
+const RECONNECT_AFTER: Duration = Duration::from_millis(5);
+/// ...and all of them together no more often than this.
+const BETWEEN_RECONNECTS: Duration = Duration::from_millis(2);
+
+/// Why an attempt got no connection.
+enum NotConnected {
+    /// The server refused, or did not answer.
+    Unreachable,
+    /// This machine could not connect for as long as the attempt could begin.
+    Withheld(Withheld),
+}
+
 /// What of a client's request goes on to a server.
 pub struct Forward {
     /// Its line and its headers, each with its end, but for the time that is left.
@@ -129,6 +142,8 @@
     open: Rc<Cell<usize>>,
     tally: Rc<Tally>,
     staleness: RefCell<Staleness>,
+    /// When the next connection is tried again that this machine could not make.
+    next_reconnect: Cell<Instant>,
     /// What is left of the memory for long requests.
     room: Arc<AtomicUsize>,
 }
@@ -137,8 +152,8 @@
     pub fn new(limits: Limits, tally: Rc<Tally>) -> Self {
         let room = Arc::new(AtomicUsize::new(limits.long_requests));
         let (servers, at, open, staleness) = Default::default();
-        let connections = Cell::new(limits.connections);
-        Upstream { limits, connections, servers, at, open, tally, staleness, room }
+        let (connections, next_reconnect) = (Cell::new(limits.connections), Cell::new(Instant::now()));
+        Upstream { limits, connections, servers, at, open, tally, staleness, next_reconnect, room }
     }
 
     /// Holds to so many connections from now on.
@@ -223,8 +238,18 @@
     ) -> Ended {
         let never = Ended::without_answer(Status::NoConnection);
         let Some((address, gone)) = self.wanted(server) else { return never };
-        let connection = timeout_at(deadline, self.connection(server, address));
-        let Ok(Some((conn, slot, idle))) = connection.await else { return never };
+        let shortage = Cell::new(false);
+        let connection = timeout_at(deadline, self.connection(server, address, permit, &shortage));
+        let (conn, slot, idle) = match connection.await {
+            Ok(Ok(connection)) => connection,
+            // That this machine could not connect says nothing of the server.
+            Ok(Err(NotConnected::Withheld(reason))) => {
+                debug!(server = %server.0, %reason, written = 0, "attempt.withheld");
+                return Ended::without_answer(Status::NotSent);
+            }
+            Err(_) if shortage.get() => return Ended::without_answer(Status::NotSent),
+            Ok(Err(NotConnected::Unreachable)) | Err(_) => return never,
+        };
         let told = ToldTime::new(deadline, forward.body.len() > BODY_BYTES);
         let head = forward.head(&told);
         let length = head.len() + forward.body.len();
@@ -304,18 +329,40 @@
         }
     }
 
-    /// A connection on which nothing is out, and how long it has been idle if it is not new.
+    /// A connection on which nothing is out, and how long it has been idle if it is not new. Where this machine lacks what
+    /// a new one takes it is tried again for as long as the attempt may begin; `shortage` tells of that.
     async fn connection(
         &self,
         server: &ServerId,
         address: SocketAddr,
-    ) -> Option<(Conn, Slot, Option<Duration>)> {
-        if let Some(Idle { conn, since, slot }) = self.take(server) {
-            return Some((conn, slot, Some(since.elapsed())));
+        permit: &AttemptPermit,
+        shortage: &Cell<bool>,
+    ) -> Result<(Conn, Slot, Option<Duration>), NotConnected> {
+        loop {
+            if let Some(Idle { conn, since, slot }) = self.take(server) {
+                return Ok((conn, slot, Some(since.elapsed())));
+            }
+            if let Some(slot) = self.slot() {
+                let opening = timeout(self.limits.connect_timeout, Conn::open(address));
+                match opening.await {
+                    Ok(Ok(conn)) => return Ok((conn, slot, None)),
+                    Ok(Err(e)) if e.is_local() => debug!(server = %server.0, reason = %e, "connect.shortage"),
+                    Ok(Err(_)) | Err(_) => return Err(NotConnected::Unreachable),
+                }
+            }
+            shortage.set(true);
+            permit.check().map_err(NotConnected::Withheld)?;
+            self.wait_out_shortage().await;
         }
-        let slot = self.slot()?;
-        let conn = timeout(self.limits.connect_timeout, Conn::open(address)).await.ok()?.ok()?;
-        Some((conn, slot, None))
+    }
+
+    /// Waits before a connection is tried again that this machine could not make: all of them together are tried so often
+    /// a second at most.
+    async fn wait_out_shortage(&self) {
+        let earliest = Instant::now() + RECONNECT_AFTER;
+        let at = earliest.max(self.next_reconnect.get());
+        self.next_reconnect.set(at + BETWEEN_RECONNECTS);
+        sleep_until(at).await;
     }
 }
 
--- a/crates/membership/src/desk.rs
+++ b/crates/membership/src/desk.rs
@@ -19,14 +19,16 @@
 
     /// Takes a server out by hand; whether it is known. It is heard as draining before this returns.
     pub fn take_out(&self, uid: &str) -> bool {
-        let now = self.engine.now();
+        // As lists tell servers' starts, with which it is compared.
+        let now = self.engine.wall();
         let known = self.roster.borrow_mut().take_out(now, uid);
         known.map(|told| self.engine.servers(ListKind::Partial, told)).is_some()
     }
 
     /// Puts a server back; whether it is known.
     pub fn put_back(&self, uid: &str) -> bool {
-        let now = self.engine.now();
+        // As lists tell servers' starts, with which it is compared.
+        let now = self.engine.wall();
         let known = self.roster.borrow_mut().put_back(now, uid);
         known.map(|told| self.engine.servers(ListKind::Partial, told)).is_some()
     }
--- a/crates/turndeck/src/policy/attempts.rs
+++ b/crates/turndeck/src/policy/attempts.rs
@@ -159,7 +159,9 @@
         let Some(p) = self.requests.get(&id) else { return };
         let (now, class, left) = (self.now, p.class, p.deadline.saturating_sub(self.now));
         let (first, customer, cell, unsent_by) = (p.attempts.is_empty(), p.customer, p.cell, p.unsent_by);
-        let spent = p.attempts.len() as u32 >= self.set.max_attempts || self.retry_tokens < 1.0;
+        // What nothing was sent of costs the budget nothing.
+        let retries = p.attempts.iter().any(|a| !a.not_sent);
+        let spent = p.attempts.len() as u32 >= self.set.max_attempts || retries && self.retry_tokens < 1.0;
         let may = if first { self.standing == Standing::Open } else { !spent && left > MARGIN_US };
         let choice = if may { self.choose(id) } else { None };
         let late = now >= unsent_by;
@@ -178,15 +180,21 @@
         };
         self.cells[cell].admitted += f64::from(u8::from(first));
         let bound = self.attempt_bound(id, left);
-        let earned = if first { self.set.retries.share } else { -1.0 };
-        self.retry_tokens = (self.retry_tokens + earned).min(self.set.retries.most);
+        let (earned, cost) = match (first, retries) {
+            (true, _) => (self.set.retries.share, 0.0),
+            (false, true) => (0.0, 1.0),
+            (false, false) => (0.0, 0.0),
+        };
+        self.retry_tokens = (self.retry_tokens + earned - cost).min(self.set.retries.most);
         self.waiting.remove(&id);
         self.place(customer, true, out);
         self.post(customer, out);
         let Some(group) = self.fleet.sent(&server, saved, now) else { return };
         let Some(p) = self.requests.get_mut(&id) else { return };
         let begin_within_us = p.begin_within(&self.set, now);
-        p.attempts.push(Attempt { server: server.clone(), group, sent: now, may_have_run: None });
+        let (may_have_run, not_sent) = (None, false);
+        let attempt = Attempt { server: server.clone(), group, sent: now, may_have_run, not_sent, cost };
+        p.attempts.push(attempt);
         let timeout_us = bound.unwrap_or(left);
         out.push(Action::Send { request: id, server, timeout_us, begin_within_us });
     }
@@ -235,6 +243,9 @@
         let a = p.attempts.get_mut(o.attempt as usize).filter(|a| a.may_have_run.is_none());
         let Some(a) = a else { return };
         a.may_have_run = Some(!o.status.never_ran());
+        a.not_sent = o.status == Status::NotSent;
+        let refund = if a.not_sent { a.cost } else { 0.0 };
+        self.retry_tokens = (self.retry_tokens + refund).min(self.set.retries.most);
         let (class, server, customer, units) = (p.class, a.server.clone(), p.customer, p.units);
         self.measure(&o, class, units, &server);
         self.place(customer, false, out);
--- a/crates/turndeck/src/request.rs
+++ b/crates/turndeck/src/request.rs
@@ -7,6 +7,8 @@
     pub group: (String, u64),
     pub sent: Micros,
     pub may_have_run: Option<bool>, // none: still out
+    pub not_sent: bool,             // it ended before anything of it was sent
+    pub cost: f64,                  // of the budget of further attempts
 }
 
 #[derive(Default)]
