Failing test: gateways that restart after a step of the wall clock count under other names

A count's name holds the number of its minute by the wall clock of the process's start (turndeck/customer.rs, count). With a step of seconds the names agree, and what has filled in since the minute began does not: a ceiling of 10 a second is 30 units off with a step of 3 s.

--- a/crates/frosthatch/tests/clocks.rs
+++ b/crates/frosthatch/tests/clocks.rs
@@ -116,3 +116,50 @@
     println!("served, by step in ms: {steps:?} {served:?}");
     assert!(served.iter().all(|share| *share >= 0.99), "{steps:?} ms: {served:?}");
 }
+
+/// Guards against a customer who has a quota at each of two counts: a gateway that restarts after a step has to meet the
+/// others under the same names.
+#[test]
+fn gateways_on_either_side_of_a_step_count_under_the_same_names() {
+    let counter = Counter::new(|_, _| Some((Duration::ZERO, "ok 1".into())));
+    let server = Server::new(|_| ok("served"));
+    let discovery = Discovery::new(&target("a", server.address, 0, "Ready"));
+    let text = config_text(discovery.address, Some(counter.address), 2, "");
+    let start = |shim: &Shim| {
+        let gateway = Gateway::start_under(&text, shim);
+        gateway.wait_ready();
+        gateway
+    };
+    let names = |gateway: &Gateway| {
+        let ask = Ask::check().with("X-Tier", "small").with("X-Call-Terms", "units=3,spread=2,first=0");
+        let since = Instant::now();
+        let mut names = Vec::new();
+        // The connection to the counter may not be up yet.
+        while names.len() < 2 && since.elapsed() < LONG {
+            gateway.ask(&ask.clone().with("X-Trace-Id", Ask::check().header("X-Trace-Id")));
+            names.extend(counter.lines.recv_timeout(Duration::from_millis(100)).ok());
+        }
+        let name = |line: &String| line.split(' ').nth(1).map(String::from);
+        names.iter().filter_map(name).collect::<Vec<String>>()
+    };
+    for step_ms in [-HOUR_MS, HOUR_MS] {
+        let (old, young) = (Shim::new(), Shim::new());
+        let running = start(&old);
+        names(&running);
+        old.set(Fault::WallClockOffsetMs, step_ms);
+        young.set(Fault::WallClockOffsetMs, step_ms);
+        let restarted = start(&young);
+        // The running one looks at the wall clock once a second.
+        thread::sleep(Duration::from_millis(1_500));
+        while counter.lines.try_recv().is_ok() {}
+        // A new life of all counts may begin between the two.
+        let mut seen = Vec::new();
+        let same = (0..3).any(|_| {
+            let (one, other) = (names(&running), names(&restarted));
+            let same = one.iter().any(|name| other.contains(name));
+            seen.push((one, other));
+            same
+        });
+        assert!(same, "step of {step_ms} ms: {seen:?}");
+    }
+}
