Counts are named by the wall clock as it is now, and filled by monotonic time

Change: turndeck/count_clock.rs knows how far the wall clock is ahead of the gateway's own, as the engine tells it within a second of a step (Event::WallClock), and remembers when each life of counts began by monotonic time. Names and epochs go by the wall clock, what has filled in by the other. Ruled out: names without the time (the counter forgets a name by its first call's life, and gateways have to begin the next one together); following the wall clock in the level too (a step of 3 s within a minute would fill a ceiling).

--- a/crates/engine/src/engine.rs
+++ b/crates/engine/src/engine.rs
@@ -26,6 +26,9 @@
 /// A fresh list is awaited this long before the one from before has to do.
 const LIST_WAIT: Duration = Duration::from_secs(1);
 
+/// The wall clock is adjusted slowly all the time; what is more than this since it was last looked at is a step.
+const WALL_CLOCK_DRIFT_US: u64 = 20_000;
+
 struct Held {
     class: usize,
     answer: Option<oneshot::Sender<Answer>>,
@@ -84,6 +87,8 @@
     /// All requests are answered by then, if the process ends.
     answer_all_by: Cell<Option<Instant>>,
     starts: RefCell<ServerStarts>,
+    /// How far the wall clock was ahead of this one's when it was last told.
+    wall_ahead_us: Cell<i64>,
     listed: Cell<bool>,
     /// Some server was known from before.
     known: Cell<bool>,
@@ -118,6 +123,7 @@
             clock,
             answer_all_by: Cell::new(None),
             starts: RefCell::default(),
+            wall_ahead_us: Cell::new(0),
             listed: Cell::new(false),
             known: Cell::new(false),
         }
@@ -453,7 +459,10 @@
             }
             while let Some(due) = self.pop_due() {
                 match due {
-                    Due::Interval => self.feed(Event::Timer(Timer::Interval)),
+                    Due::Interval => {
+                        self.look_at_wall_clock();
+                        self.feed(Event::Timer(Timer::Interval));
+                    }
                     Due::Request(id) => self.feed(Event::Timer(Timer::Request(RequestId(id)))),
                     Due::Customer(tag) => self.feed(Event::Timer(Timer::Customer(tag))),
                     Due::Backstop(id) => self.backstop(RequestId(id)),
@@ -462,6 +471,15 @@
         }
     }
 
+    /// Tells the decisions where the wall clock was stepped.
+    fn look_at_wall_clock(self: &Rc<Self>) {
+        let ahead_us = self.clock.wall() as i64 - self.now() as i64;
+        if ahead_us.abs_diff(self.wall_ahead_us.get()) > WALL_CLOCK_DRIFT_US {
+            self.wall_ahead_us.set(ahead_us);
+            self.feed(Event::WallClock { ahead_us });
+        }
+    }
+
     fn pop_due(&self) -> Option<Due> {
         self.inner.borrow_mut().timers.pop_due(Instant::now())
     }
--- a/crates/turndeck/src/count.rs
+++ b/crates/turndeck/src/count.rs
@@ -1,6 +1,7 @@
 //! The shared counts: calls that are out, and what a total says of a customer's store. Arithmetic only.
 
-use crate::customer::{Customer, Quota, COUNT_TTL_US, RATE_TAU_US};
+use crate::count_clock::Life;
+use crate::customer::{Customer, Quota, RATE_TAU_US};
 use crate::interface::Micros;
 use crate::ledger::Evidence;
 use std::collections::{BTreeMap, VecDeque};
@@ -15,6 +16,7 @@
     pub amount: f64,
     pub wanted: f64, // of the amount, for requests that wait for the answer
     pub sent: Micros,
+    pub life: Life, // of its count, when it was sent
 }
 
 /// Calls that are out, by name; answers come in their order.
@@ -75,8 +77,8 @@
         chance: impl FnOnce() -> f64,
     ) -> (Option<Evidence>, f64) {
         let &Answer { call, total, still_out } = answer;
-        let life = call.sent / COUNT_TTL_US;
-        let filled = if q.places { 0.0 } else { q.rate * (call.sent % COUNT_TTL_US) as f64 / 1e6 };
+        let life = call.life.number;
+        let filled = if q.places { 0.0 } else { q.rate * call.life.elapsed as f64 / 1e6 };
         // What this gateway wanted and has not used yet is untold, below nothing.
         let (most, mut level) = (q.most, q.most + filled - total - self.unposted - still_out);
         let unheard_s = self.heard_at.map_or(0.0, |t| now.saturating_sub(t) as f64 / 1e6);
--- a/crates/turndeck/src/customer.rs
+++ b/crates/turndeck/src/customer.rs
@@ -1,6 +1,7 @@
 //! What this gateway knows of one customer's use and of what is left of its quota: levels, told and untold use, places.
 //! Knowledge and the arithmetic of its stores; how much of it may pass here is decided in `policy/quota.rs`.
 
+use crate::count_clock::Life;
 use crate::decayed::Decayed;
 use crate::interface::{Ceiling, Micros, Plan, RequestId, Settings};
 use crate::ledger::{Digits, Ledger};
@@ -169,22 +170,22 @@
     }
 
     /// Name and life of its count now.
-    pub fn count(&self, q: &Quota, now: Micros) -> (String, Micros) {
+    pub fn count(&self, q: &Quota, wall: Micros, life: Life) -> (String, Micros) {
         let (life, ttl_us) = match self.by_epochs(q) {
-            true => (self.epoch(now), 2 * EPOCH_US),
-            false => (now / COUNT_TTL_US, COUNT_TTL_US),
+            true => (self.epoch(wall), 2 * EPOCH_US),
+            false => (life.number, COUNT_TTL_US),
         };
         (format!("{:08x}:{life}", self.tag), ttl_us)
     }
 
     /// Each customer's begins at another time.
-    fn epoch(&self, now: Micros) -> u64 {
-        (now + Micros::from(self.tag) % EPOCH_US) / EPOCH_US
+    fn epoch(&self, wall: Micros) -> u64 {
+        (wall + Micros::from(self.tag) % EPOCH_US) / EPOCH_US
     }
 
     /// In a new epoch nothing is told yet of what is open.
-    pub fn turn(&mut self, q: &Quota, now: Micros) {
-        let epoch = self.epoch(now);
+    pub fn turn(&mut self, q: &Quota, wall: Micros) {
+        let epoch = self.epoch(wall);
         if self.by_epochs(q) && std::mem::replace(&mut self.told_in, epoch) != epoch {
             self.unposted = f64::from(self.open);
         }
@@ -192,9 +193,9 @@
 
     /// An attempt begins or ends; where only attempts are capped, that is what the keeper adds up. How many places the
     /// count would hold for this gateway's next requests then; none: it does not count by them.
-    pub fn place(&mut self, q: &Quota, begins: bool, now: Micros) -> Option<u32> {
+    pub fn place(&mut self, q: &Quota, begins: bool, now: Micros, wall: Micros) -> Option<u32> {
         self.open = if begins { self.open + 1 } else { self.open.saturating_sub(1) };
-        let untold = self.by_epochs(q) && self.told_in != self.epoch(now);
+        let untold = self.by_epochs(q) && self.told_in != self.epoch(wall);
         if !q.places || self.kept || untold {
             return None;
         }
--- a/crates/turndeck/src/gateway.rs
+++ b/crates/turndeck/src/gateway.rs
@@ -2,6 +2,7 @@
 
 use crate::calls::{Calls, FEW};
 use crate::count::Counting;
+use crate::count_clock::CountClock;
 use crate::customer::{Customer, Quota};
 use crate::decayed::Decayed;
 use crate::fleet::Fleet;
@@ -36,6 +37,7 @@
     pub(crate) odds: Vec<[Decayed; 2]>, // by plan: asks answered of late without room, and with
     pub(crate) quotas: Vec<Quota>,
     pub(crate) counting: Counting,
+    pub(crate) count_clock: CountClock,
     pub(crate) watch: CounterWatch,
     pub(crate) peers: Peers,
     pub(crate) fleet: Fleet,
@@ -67,6 +69,7 @@
             pace,
             customers: BTreeMap::new(),
             counting: Counting::default(),
+            count_clock: CountClock::default(),
             watch: CounterWatch::default(),
             requests: BTreeMap::new(),
             waiting: BTreeSet::new(),
--- a/crates/turndeck/src/interface.rs
+++ b/crates/turndeck/src/interface.rs
@@ -529,6 +529,12 @@
     },
     /// All gateways of which is known that nothing comes through them: they left, or never were there.
     Absent(Vec<u32>),
+    /// The wall clock, by which all gateways name counts, is so many microseconds ahead of the clock that events come with:
+    /// it was stepped.
+    WallClock {
+        /// Negative: behind it.
+        ahead_us: i64,
+    },
     /// From now on other terms are in force. What customers used carries over, and for a moment the smaller of both holds.
     Terms(Terms),
     /// Whether requests may be let in from now on.
--- a/crates/turndeck/src/lib.rs
+++ b/crates/turndeck/src/lib.rs
@@ -35,6 +35,7 @@
 mod boot;
 mod calls;
 mod count;
+mod count_clock;
 mod customer;
 mod decayed;
 mod fleet;
--- a/crates/turndeck/src/policy/asks.rs
+++ b/crates/turndeck/src/policy/asks.rs
@@ -66,11 +66,12 @@
     fn send_ask(&mut self, customer: u32, wanted: f64, out: &mut Vec<Action>) {
         let Some(c) = self.customers.get_mut(&customer) else { return };
         let q = &self.quotas[c.plan];
-        c.turn(q, self.now);
+        c.turn(q, self.count_clock.wall(self.now));
         if self.set.counter {
-            let (name, ttl_us) = c.count(q, self.now);
+            let life = self.count_clock.life(self.now);
+            let (name, ttl_us) = c.count(q, self.count_clock.wall(self.now), life);
             let amount = c.called(wanted);
-            self.counting.sent(&name, Call { customer, amount, wanted, sent: self.now });
+            self.counting.sent(&name, Call { customer, amount, wanted, sent: self.now, life });
             let amount = amount * c.digits.map_or(1.0, |d| d.weight());
             return out.push(Action::Count { name, amount, ttl_us });
         }
@@ -99,7 +100,7 @@
     pub(super) fn post(&mut self, customer: u32, out: &mut Vec<Action>) {
         let Some(c) = self.customers.get_mut(&customer) else { return };
         let q = &self.quotas[c.plan];
-        c.turn(q, self.now);
+        c.turn(q, self.count_clock.wall(self.now));
         let rare = c.rare(q);
         // What was asked for in a wide set and not used is missed by the others.
         let back = q.places || rare && c.unposted < 0.0;
@@ -208,7 +209,7 @@
 
     pub(super) fn on_counted(&mut self, name: &str, status: Status, total: f64, out: &mut Vec<Action>) {
         let Some(answer) = self.counting.answered(name, total) else { return };
-        let Call { customer, amount, wanted, sent } = answer.call;
+        let Call { customer, amount, wanted, sent, .. } = answer.call;
         // No connection, or one that broke, says nothing of how busy the counter is; an answer without a number does.
         let answered = matches!(status, Status::Served | Status::ServerError);
         if !matches!(status, Status::ConnectionLost | Status::NoConnection) {
--- a/crates/turndeck/src/policy/attempts.rs
+++ b/crates/turndeck/src/policy/attempts.rs
@@ -272,8 +272,9 @@
 
     /// An attempt begins or ends, and takes a place of its customer's or leaves it.
     fn place(&mut self, customer: u32, begins: bool, out: &mut Vec<Action>) {
+        let wall = self.count_clock.wall(self.now);
         let Some(c) = self.customers.get_mut(&customer) else { return };
-        let spare = c.place(&self.quotas[c.plan], begins, self.now);
+        let spare = c.place(&self.quotas[c.plan], begins, self.now, wall);
         if spare.is_some_and(|spare| c.keep(spare)) && !begins {
             self.look_later(customer, out);
         }
--- a/crates/turndeck/src/policy/mod.rs
+++ b/crates/turndeck/src/policy/mod.rs
@@ -66,6 +66,7 @@
                 self.deal();
             }
             Event::Words { from, words } => self.fleet.hear(from, words, self.now),
+            Event::WallClock { ahead_us } => self.count_clock.step(self.now, ahead_us),
             Event::Absent(gateways) => self.peers.absent = gateways.into_iter().collect(),
             Event::Used { heard, uses, past } => self.on_used(&heard, &uses, &past),
             Event::Counted { name, status, total } => self.on_counted(&name, status, total, out),
