http1: the clients' side split by job, with the field's names

Door is HttpServer; fill, empty, turn_away, make_room, pass_on are resume, drain, reject, evict_idle, relay_body; KEPT, STALLS, FREE, NO_PLACE are KEEPALIVE_TIMEOUT, BODY_STALL_TIMEOUT, RESERVED_FRACTION, RETRY_AFTER_FULL. Moves and renames only.

--- a/crates/frosthatch/src/console.rs
+++ b/crates/frosthatch/src/console.rs
@@ -6,7 +6,7 @@
 use frosthatch_console::{Class, Desk, Figures};
 use frosthatch_engine::{Engine, Rule};
 use frosthatch_handover::driver::{Here, Tell};
-use frosthatch_http1::front::Door;
+use frosthatch_http1::server::HttpServer;
 use frosthatch_members::driver::Member;
 use frosthatch_membership as membership;
 use std::cell::Cell;
@@ -14,7 +14,7 @@
 
 pub struct Console {
     pub engine: Rc<Engine>,
-    pub door: Rc<Door>,
+    pub http_server: Rc<HttpServer>,
     pub servers: Rc<membership::Desk>,
     /// New configurations that were taken over, and that were not.
     pub reloads: Rc<[Cell<u64>; 2]>,
@@ -39,7 +39,7 @@
 
 impl Desk for Console {
     fn ready(&self) -> bool {
-        self.door.ready()
+        self.http_server.ready()
     }
 
     fn figures(&self) -> Figures {
@@ -100,10 +100,10 @@
     }
 
     fn drain(&self) {
-        self.door.empty();
+        self.http_server.drain();
     }
 
     fn undrain(&self) {
-        self.door.fill();
+        self.http_server.resume();
     }
 }
--- a/crates/frosthatch/src/handover.rs
+++ b/crates/frosthatch/src/handover.rs
@@ -6,7 +6,7 @@
 use frosthatch_handover::driver::{Here, Host, Tell};
 use frosthatch_handover::message::{Mark, State};
 use frosthatch_http1::backend::Upstream;
-use frosthatch_http1::front::Door;
+use frosthatch_http1::server::HttpServer;
 use frosthatch_membership as membership;
 use std::os::fd::{AsFd, OwnedFd};
 use std::path::PathBuf;
@@ -36,7 +36,7 @@
 
 pub struct Process {
     pub listener: Rc<TcpListener>,
-    pub door: Rc<Door>,
+    pub http_server: Rc<HttpServer>,
     pub upstream: Rc<Upstream>,
     pub servers: Rc<membership::Desk>,
     /// Connections that clients may have, and those to servers, by all of the limits.
@@ -59,12 +59,12 @@
 
     fn halve(&self, half: bool) {
         let of = |all: usize| if half { all / 2 } else { all };
-        self.door.hold_to(of(self.clients));
+        self.http_server.hold_to(of(self.clients));
         self.upstream.hold_to(of(self.to_servers));
     }
 
     fn accept(&self, yes: bool) {
-        self.door.turn(yes);
+        self.http_server.turn(yes);
     }
 
     fn end(&self) {
--- a/crates/frosthatch/src/serve.rs
+++ b/crates/frosthatch/src/serve.rs
@@ -9,7 +9,7 @@
 use frosthatch_engine::{Clock, Engine, Fleet, Ledger, Rules, Tally};
 use frosthatch_handover::driver::{self as upgrade, Here, Host};
 use frosthatch_http1::backend::{self, Limits, Upstream};
-use frosthatch_http1::front::Door;
+use frosthatch_http1::server::HttpServer;
 use frosthatch_http1::{BODY_BYTES, HEAD_BYTES};
 use frosthatch_members::Phase;
 use frosthatch_membership::{self as membership, Source};
@@ -166,16 +166,24 @@
         agreed = Some(started?);
     }
     let reloads: Rc<[Cell<u64>; 2]> = Rc::default();
-    let door = Door::new(engine.clone(), upstream.clone(), config.settings.clone(), gate, clients);
+    let http_server =
+        HttpServer::new(engine.clone(), upstream.clone(), config.settings.clone(), gate, clients);
     // With what a new process inherits it waits until it is ready, and the old one serves.
-    door.turn(inherited.is_none());
-    spawn_local(door.clone().accept(listener.clone()));
+    http_server.turn(inherited.is_none());
+    spawn_local(http_server.clone().accept(listener.clone()));
     let mut tell = None;
     let given_up = Rc::new(Notify::new());
     if let Some(path) = meeting_place {
-        let (door, servers, ends) = (door.clone(), servers.clone(), given_up.clone());
-        let host =
-            Rc::new(handover::Process { listener, door, upstream, servers, clients, to_servers, ends });
+        let (http_server, servers, ends) = (http_server.clone(), servers.clone(), given_up.clone());
+        let host = Rc::new(handover::Process {
+            listener,
+            http_server,
+            upstream,
+            servers,
+            clients,
+            to_servers,
+            ends,
+        });
         if let Some(inherited) = &inherited {
             host.halve(true);
             inherited.state.marks.iter().for_each(|mark| host.mark(mark.clone()));
@@ -193,7 +201,7 @@
         let tell = tell.clone();
         let desk = Console {
             engine: engine.clone(),
-            door: door.clone(),
+            http_server: http_server.clone(),
             servers,
             reloads: reloads.clone(),
             tell,
@@ -214,7 +222,7 @@
         tokio::select! {
             _ = terminate.recv() => break,
             _ = look.tick(), if member.is_some() => {
-                member.iter().for_each(|m| m.set_phase(phase(&door)));
+                member.iter().for_each(|m| m.set_phase(phase(&http_server)));
             }
             () = given_up.notified() => return Err("a running process could not be replaced".into()),
             _ = hangup.recv() => match (Config::from_env(), operator::read(operator_file)) {
@@ -259,7 +267,7 @@
     let longest = Duration::from_micros(longest).min(LONGEST_DEADLINE);
     let answers_until = Instant::now() + STILL_COMING + longest + LAST_ANSWERS;
     let ends = answers_until + LAST_WRITES;
-    door.leave(answers_until);
+    http_server.leave(answers_until);
     member.iter().for_each(|m| m.set_phase(Phase::Draining));
     if let Some(tell) = &tell {
         let _ = tell.try_send(Here::Terminate);
@@ -267,23 +275,23 @@
     if let Some(spoken) = &diameter {
         spoken.front.leave();
     }
-    if door.accepting() {
+    if http_server.accepting() {
         sleep(STILL_COMING).await;
     } else {
         // Another process accepts: nothing comes any more but over connections that are there, and those that stay idle
         // are closed late, so that few closes cross a request.
-        while door.open() > 0 && Instant::now() + STILL_COMING * 2 < ends {
-            door.close_stale();
+        while http_server.open() > 0 && Instant::now() + STILL_COMING * 2 < ends {
+            http_server.close_stale();
             sleep(Duration::from_millis(10)).await;
         }
     }
     let finish = async {
-        let held = || door.open() > 0 || diameter.as_ref().is_some_and(|d| d.front.held() > 0);
+        let held = || http_server.open() > 0 || diameter.as_ref().is_some_and(|d| d.front.held() > 0);
         // Again and again: a connection may have come since, and one that waits in the listener's queue is seen by the next
         // look at the latest.
         let mut looks_without = 0;
         while looks_without < LAST_LOOKS {
-            door.close();
+            http_server.close();
             sleep(Duration::from_millis(10)).await;
             looks_without = if held() { 0 } else { looks_without + 1 };
         }
@@ -307,8 +315,8 @@
 }
 
 /// What the others are told of this gateway.
-fn phase(door: &Door) -> Phase {
-    match (door.ready(), door.emptying()) {
+fn phase(http_server: &HttpServer) -> Phase {
+    match (http_server.ready(), http_server.draining()) {
         (_, true) => Phase::Draining,
         (true, false) => Phase::Ready,
         (false, false) => Phase::Joining,
