Failing tests: a log that cannot be written ends the gateway; the audit goes on after a full disk

The audit of requests that were let in (frosthatch/policy.rs) ended for good with the first write that failed, and could leave half a line. Now audit.rs keeps what is not written (4 MiB at most, what is left out is counted and told), writes on from the byte where it stopped, tries again with each tick, and says both. Found by reading "writes may fail for a while" against each write of a file; ruled out: the keepers' folder, which says nothing before its state is on disk and tries again each second (accord/node.rs, stored).

--- a/crates/frosthatch/src/main.rs
+++ b/crates/frosthatch/src/main.rs
@@ -1,6 +1,7 @@
 //! The gateway's program: command line, then either a check of the files or the gateway itself.
 #![forbid(unsafe_code)]
 
+mod audit;
 mod choices;
 mod console;
 mod diameter;
--- a/crates/frosthatch/src/policy.rs
+++ b/crates/frosthatch/src/policy.rs
@@ -1,6 +1,7 @@
 //! The policy that all gateways agree on: joins the agreement to members, to the decisions, to its folder and to operators. No rules
 //! here but what a document has to name at this gateway.
 
+use crate::audit::{Audit, Change};
 use crate::operator::Agreed;
 use frosthatch_accord::document::{hex, sha256, Document};
 use frosthatch_accord::folder::Folder;
@@ -15,8 +16,7 @@
 use serde::{Deserialize, Serialize};
 use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, VecDeque};
-use std::fs::File;
-use std::io::{BufWriter, Write};
+
 use std::path::Path;
 use std::rc::Rc;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
@@ -127,7 +127,7 @@
     looked_at: Cell<u64>,
     folder: RefCell<Option<Folder>>,
     to_disk: std::sync::mpsc::Sender<(Folder, Record)>,
-    audit: RefCell<Option<BufWriter<File>>>,
+    audit: RefCell<Option<Audit>>,
 }
 
 impl Desk {
@@ -163,10 +163,7 @@
         };
         let audit = match &agreed.audit {
             None => None,
-            Some(path) => {
-                let file = File::options().create(true).append(true).open(path);
-                Some(file.map_err(|e| format!("policy: {}: {e}", path.display()))?)
-            }
+            Some(path) => Some(Audit::open(path).map_err(|e| format!("policy: {}: {e}", path.display()))?),
         };
         let (to_disk, records) = std::sync::mpsc::channel::<(Folder, Record)>();
         let (done, written) = unbounded_channel();
@@ -186,7 +183,7 @@
             looked_at: Cell::new(0),
             folder: RefCell::default(),
             to_disk,
-            audit: RefCell::new(audit.map(BufWriter::new)),
+            audit: RefCell::new(audit),
         });
         let folder = agreed.folder.clone().filter(|_| keeper);
         if let Some(path) = &folder {
@@ -247,6 +244,7 @@
                     self.node.borrow_mut().stored(self.now(), how, &mut out);
                 }
                 _ = ticks.tick() => {
+                    tell_audit(self.audit.borrow_mut().as_mut().and_then(Audit::write));
                     let proposes = self.node.borrow().proposes();
                     let there = if proposes { self.others() } else { Vec::new() };
                     self.node.borrow_mut().tick(self.now(), &there, &mut out);
@@ -421,17 +419,24 @@
 
     fn let_in(&self, request: RequestId) {
         let mut audit = self.audit.borrow_mut();
-        let Some(file) = &mut *audit else { return };
+        let Some(audit) = &mut *audit else { return };
         // The clock that all processes of a machine share, of when it was looked under what.
         let since = self.engine.now().saturating_sub(self.looked_at.get());
         let now = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_micros() as u64;
         let (id, with) = self.under.get();
         let with = with.map_or(String::new(), |with| format!(" with={}", with.version));
         let line = format!("{} {} {} {}{with}", now - since, id.version, &hex(&id.digest)[..12], request.0);
-        if writeln!(file, "{line}").and_then(|()| file.flush()).is_err() {
-            eprintln!("policy: the audit cannot be written; it ends here");
-            *audit = None;
+        tell_audit(audit.note(&line));
+    }
+}
+
+fn tell_audit(change: Option<Change>) {
+    match change {
+        Some(Change::Fails) => eprintln!("policy: the audit cannot be written; it is tried again"),
+        Some(Change::WritesAgain { left_out }) => {
+            eprintln!("policy: the audit is written again; lines left out: {left_out}");
         }
+        None => {}
     }
 }
 
--- /dev/null
+++ b/crates/frosthatch/tests/log_output.rs
@@ -0,0 +1,75 @@
+//! A log that cannot be written: the disk is full, or whoever read it has gone. The gateway serves on.
+
+mod common;
+use common::*;
+use std::fs::OpenOptions;
+use std::io::{BufRead, BufReader};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::process::{Child, Stdio};
+use std::thread;
+use std::time::{Duration, Instant};
+
+/// A process that is not one of [`Gateway`], as what it logs goes elsewhere.
+struct Process {
+    child: Child,
+    address: SocketAddr,
+}
+
+impl Process {
+    fn start(discovery: &Discovery, log: Stdio) -> Process {
+        let address = TcpListener::bind("127.0.0.1:0").and_then(|l| l.local_addr()).expect("a port");
+        let text = config_text(discovery.address, None, 1, "");
+        let text = text.replace("\"listen\":\"127.0.0.1:0\"", &format!("\"listen\":\"{address}\""));
+        let config = config_file(&text);
+        let child = command(&config).stderr(log).spawn().expect("the gateway starts");
+        Process { child, address }
+    }
+
+    fn serves(&mut self) -> bool {
+        let since = Instant::now();
+        while since.elapsed() < LONG {
+            if self.child.try_wait().expect("a child").is_some() {
+                return false;
+            }
+            if TcpStream::connect(self.address).is_ok() {
+                let answer = Client::at(self.address).ask(&Ask::check().text());
+                if answer.is_some_and(|a| a.status() == 200) {
+                    return true;
+                }
+            }
+            thread::sleep(Duration::from_millis(20));
+        }
+        false
+    }
+}
+
+impl Drop for Process {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
+#[test]
+fn a_full_disk_behind_the_log_does_not_keep_the_gateway_from_serving() {
+    let server = Server::new(|_| ok("served"));
+    let discovery = Discovery::new(&target("a", server.address, 0, "Ready"));
+    let full = OpenOptions::new().write(true).open("/dev/full").expect("a full disk");
+    assert!(Process::start(&discovery, Stdio::from(full)).serves());
+}
+
+#[test]
+fn a_reader_of_the_log_that_goes_takes_no_gateway_along() {
+    let server = Server::new(|_| ok("served"));
+    let discovery = Discovery::new(&target("a", server.address, 0, "Ready"));
+    let mut process = Process::start(&discovery, Stdio::piped());
+    let mut log = BufReader::new(process.child.stderr.take().expect("a log"));
+    log.read_line(&mut String::new()).expect("a line");
+    assert!(process.serves());
+    drop(log);
+    // A list that makes no sense is logged.
+    discovery.mood(Mood::Nonsense);
+    discovery.asked_again(3);
+    discovery.mood(Mood::Telling);
+    assert!(process.serves());
+}
