--- a/crates/frosthatch/src/audit.rs
+++ b/crates/frosthatch/src/audit.rs
@@ -58,14 +58,21 @@
 
     /// Writes what waits, as far as the disk takes it.
     pub fn write(&mut self) -> Option<Change> {
-        while !self.waiting.is_empty() {
-            match self.file.write(&self.waiting) {
-                Ok(written @ 1..) => drop(self.waiting.drain(..written)),
+        let mut written = 0;
+        let well = loop {
+            if written == self.waiting.len() {
+                break true;
+            }
+            match self.file.write(&self.waiting[written..]) {
+                Ok(n @ 1..) => written += n,
                 Err(e) if e.kind() == io::ErrorKind::Interrupted => {}
-                Ok(_) | Err(_) => {
-                    return (!std::mem::replace(&mut self.failing, true)).then_some(Change::Fails)
-                }
+                Ok(_) | Err(_) => break false,
             }
+        };
+        self.waiting.drain(..written);
+        if !well {
+            let failed_before = std::mem::replace(&mut self.failing, true);
+            return (!failed_before).then_some(Change::Fails);
         }
         let left_out = std::mem::take(&mut self.left_out);
         std::mem::take(&mut self.failing).then_some(Change::WritesAgain { left_out })
