Diameter: an attempt that waited behind others is written only if it still may be

Now the queue carries the AttemptPermit, which is asked when the message's turn comes; what is withheld ends as not sent, costs no retry and is not repeated elsewhere as "may have run". Test in link.rs: red with the check taken out, green with it. Ruled out: a message cut within (they are short, and the connection cannot take back what has begun).

--- a/crates/diameter/src/link.rs
+++ b/crates/diameter/src/link.rs
@@ -3,12 +3,13 @@
 use crate::codec::{self, Message};
 use crate::peer::{Cause, Input, Output, Peer, Remote};
 use bytes::{Bytes, BytesMut};
+use frosthatch_engine::{AttemptPermit, Withheld};
 use frosthatch_sockets::Uninterrupted;
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::io::{AsyncRead, AsyncReadExt, AsyncWrite, AsyncWriteExt};
-use tokio::sync::{mpsc, Notify};
+use tokio::sync::{mpsc, oneshot, Notify};
 use tokio::time::sleep;
 
 /// Messages that wait to be written to one peer at most, and its part of the bytes that may wait for all.
@@ -39,11 +40,26 @@
     }
 }
 
+/// A message that waits to be written.
+pub struct Queued {
+    bytes: Vec<u8>,
+    /// Of an attempt: leave to write it, and who hears if there is none any more.
+    attempt: Option<(AttemptPermit, oneshot::Sender<Withheld>)>,
+}
+
+/// An attempt's message that was handed over.
+pub struct Handed {
+    /// Where its last byte stands in all that is written.
+    pub end: u64,
+    /// Hears why it was not written, if it was not.
+    pub withheld: oneshot::Receiver<Withheld>,
+}
+
 /// The near end of a connection.
 pub struct Link {
     peer: RefCell<Peer>,
     budget: Rc<Budget>,
-    out: mpsc::Sender<Vec<u8>>,
+    out: mpsc::Sender<Queued>,
     /// Bytes handed over so far, and of them those that were written.
     queued: Cell<u64>,
     written: Cell<u64>,
@@ -57,7 +73,7 @@
         peer: Peer,
         clock: Rc<dyn Fn() -> u64>,
         budget: Rc<Budget>,
-    ) -> (Rc<Link>, mpsc::Receiver<Vec<u8>>) {
+    ) -> (Rc<Link>, mpsc::Receiver<Queued>) {
         let (out, to_write) = mpsc::channel(WAITING);
         let (queued, written, broken) = (Cell::new(0), Cell::new(0), Notify::new());
         (Rc::new(Link { peer: RefCell::new(peer), budget, out, queued, written, broken, clock }), to_write)
@@ -80,17 +96,35 @@
     /// Hands a message over to be written; where its last byte stands in all that is written. None if too much waits
     /// there already.
     pub fn send(&self, message: &Message) -> Option<u64> {
-        let bytes = message.encode();
+        self.send_within_budget(message.encode(), None)
+    }
+
+    /// The same for an attempt: when its turn comes it is written only if it still may be.
+    pub fn send_attempt(&self, message: &Message, permit: AttemptPermit) -> Option<Handed> {
+        let (sender, withheld) = oneshot::channel();
+        let end = self.send_within_budget(message.encode(), Some((permit, sender)))?;
+        Some(Handed { end, withheld })
+    }
+
+    fn send_within_budget(
+        &self,
+        bytes: Vec<u8>,
+        attempt: Option<(AttemptPermit, oneshot::Sender<Withheld>)>,
+    ) -> Option<u64> {
         let most = self.budget.most.get();
         let own = (self.queued.get() - self.written.get()) as usize + bytes.len();
         let fits = own <= most / SHARE && self.budget.held.get() + bytes.len() <= most;
-        fits.then(|| self.put(bytes))?
+        fits.then(|| self.queue(Queued { bytes, attempt }))?
     }
 
     /// The same for the gateway's part in the connection itself, which no answers of others hold up.
     fn put(&self, bytes: Vec<u8>) -> Option<u64> {
-        let length = bytes.len();
-        self.out.try_send(bytes).ok()?;
+        self.queue(Queued { bytes, attempt: None })
+    }
+
+    fn queue(&self, queued: Queued) -> Option<u64> {
+        let length = queued.bytes.len();
+        self.out.try_send(queued).ok()?;
         self.budget.held.set(self.budget.held.get() + length);
         self.queued.set(self.queued.get() + length as u64);
         Some(self.queued.get())
@@ -122,22 +156,40 @@
         }
     }
 
+    /// So many bytes wait no longer.
+    fn left_queue(&self, bytes: usize) {
+        self.written.set(self.written.get() + bytes as u64);
+        self.budget.held.set(self.budget.held.get() - bytes);
+    }
+
     /// Carries the connection until it ends; why it did.
     pub async fn run(
         &self,
         stream: impl AsyncRead + AsyncWrite + Unpin,
-        mut to_write: mpsc::Receiver<Vec<u8>>,
+        mut to_write: mpsc::Receiver<Queued>,
         mut event: impl FnMut(Event),
     ) -> String {
         let (mut read, mut write) = tokio::io::split(Uninterrupted(stream));
         let writes = async {
-            while let Some(bytes) = to_write.recv().await {
+            while let Some(Queued { bytes, attempt }) = to_write.recv().await {
+                // It may have waited for long behind others that the peer was slow to read.
+                let mut written = None;
+                if let Some((permit, withheld)) = attempt {
+                    if let Err(why) = permit.check() {
+                        let _ = withheld.send(why);
+                        self.left_queue(bytes.len());
+                        continue;
+                    }
+                    written = Some(permit);
+                }
                 if write.write_all(&bytes).await.is_err() {
                     return;
                 }
                 // In the same step as the last byte: nothing that has left counts as not written.
-                self.written.set(self.written.get() + bytes.len() as u64);
-                self.budget.held.set(self.budget.held.get() - bytes.len());
+                if let Some(permit) = written {
+                    permit.written(None);
+                }
+                self.left_queue(bytes.len());
                 if write.flush().await.is_err() {
                     return;
                 }
@@ -221,3 +273,75 @@
         Err(fault) => Err(fault.code),
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::codec::{Avp, Header};
+    use crate::dictionary::{code, command};
+    use crate::peer::{Identity, Role};
+    use frosthatch_engine::Waiting;
+    use std::rc::Rc;
+    use tokio::io::DuplexStream;
+    use tokio::task::{spawn_local, LocalSet};
+    use tokio::time::{timeout, Instant};
+    use turndeck::RequestId;
+
+    /// What a connection takes from the link before its peer reads.
+    const TAKEN: usize = 16;
+
+    fn link() -> (Rc<Link>, mpsc::Receiver<Queued>) {
+        let address = "127.0.0.1".parse().expect("an address");
+        let me = Identity { host: "g".into(), realm: "example.org".into(), address, state_id: 1 };
+        let peer = Peer::new(me, Role::Client, 30_000_000, false, 1);
+        Link::new(peer, Rc::new(|| 0), Budget::new(1 << 20))
+    }
+
+    fn message(session: &str) -> Message {
+        let header = Header {
+            flags: 0,
+            command: command::CREDIT_CONTROL,
+            application: 4,
+            hop_by_hop: 1,
+            end_to_end: 1,
+        };
+        Message::new(header).with(Avp::of_text(code::SESSION_ID, session))
+    }
+
+    fn permit(waiting: &Waiting) -> AttemptPermit {
+        let later = Instant::now() + Duration::from_secs(60);
+        AttemptPermit::new(RequestId(1), later, later, waiting.clone(), Rc::default())
+    }
+
+    async fn read_all(mut stream: DuplexStream) -> String {
+        let mut all = Vec::new();
+        let mut chunk = [0; 64];
+        while let Ok(Ok(n @ 1..)) = timeout(Duration::from_millis(200), stream.read(&mut chunk)).await {
+            all.extend_from_slice(&chunk[..n]);
+        }
+        String::from_utf8_lossy(&all).into()
+    }
+
+    /// Guards against an attempt that waits behind others until nobody wants it any more, and is written all the same.
+    #[tokio::test]
+    async fn an_attempt_that_waited_too_long_is_not_written() {
+        let test = async {
+            let (link, to_write) = link();
+            let (near, far) = tokio::io::duplex(TAKEN);
+            let running = link.clone();
+            spawn_local(async move { running.run(near, to_write, |_| ()).await });
+            let (stays, leaves) = (Waiting::default(), Waiting::default());
+            let first = link.send_attempt(&message("session-one"), permit(&stays)).expect("room");
+            let second = link.send_attempt(&message("session-two"), permit(&leaves)).expect("room");
+            let third = link.send_attempt(&message("session-three"), permit(&stays)).expect("room");
+            tokio::task::yield_now().await;
+            leaves.end();
+            let read = read_all(far).await;
+            assert!(read.contains("session-one") && read.contains("session-three"), "{read:?}");
+            assert!(!read.contains("session-two"), "{read:?}");
+            assert_eq!(second.withheld.await, Ok(Withheld::NobodyWaits));
+            assert!(first.withheld.await.is_err() && third.withheld.await.is_err());
+        };
+        LocalSet::new().run_until(test).await;
+    }
+}
--- a/crates/diameter/src/servers.rs
+++ b/crates/diameter/src/servers.rs
@@ -2,7 +2,7 @@
 
 use crate::codec::Message;
 use crate::credit::{forwarded, verdict, Verdict};
-use crate::link::{Budget, Event, Link};
+use crate::link::{Budget, Event, Handed, Link};
 use crate::overload::{announce, Heeded};
 use crate::peer::{Cause, Identity, Peer, Role};
 use frosthatch_engine::{Attempt, AttemptPermit, Ended, Fleet, Member, Payload, Protocol, State};
@@ -270,12 +270,18 @@
         if permit.check().is_err() {
             return Ended::without_answer(Status::NotSent);
         }
-        let Some(end) = link.send(&message) else { return never };
+        let Some(Handed { end, mut withheld }) = link.send_attempt(&message, permit) else { return never };
         let (sender, answer) = oneshot::channel();
         s.pending.borrow_mut().insert(hop, Pending { answer: sender, end });
         // Called off, or given up: an answer that comes later finds nobody.
         let _forget = Forget { server: s.clone(), hop };
-        match timeout_at(deadline, answer).await {
+        let answered = timeout_at(deadline, answer);
+        let answered = tokio::select! {
+            biased;
+            Ok(_) = &mut withheld => return Ended::without_answer(Status::NotSent),
+            answered = answered => answered,
+        };
+        match answered {
             Ok(Ok(Some(answer))) => {
                 s.heeded.borrow_mut().hear((self.clock)(), &answer);
                 let status = match verdict(&answer) {
