--- a/crates/lab/src/soak/mod.rs
+++ b/crates/lab/src/soak/mod.rs
@@ -8,9 +8,9 @@
 mod chance;
 mod clients;
 mod gateways;
-mod oracle;
+pub mod oracle;
 mod proxy;
-mod record;
+pub mod record;
 mod servers;
 mod troubles;
 
