--- a/crates/lab/src/soak/gateways.rs
+++ b/crates/lab/src/soak/gateways.rs
@@ -26,7 +26,7 @@
 /// Settings of the cold start, which the oracle checks: share at the start, time until warm, multiple, window.
 pub const COLD_FROM: f64 = 0.27;
 pub const WARM_AFTER: Duration = Duration::from_secs(18);
-pub const TIP_MULTIPLE: f64 = 4.0;
+pub const TIP_MULTIPLE: f64 = 1.2;
 pub const TIP_AFTER: Duration = Duration::from_secs(3);
 
 fn settings(gateways: usize, me: usize, cancel: bool) -> String {
