--- a/crates/engine/src/clock.rs
+++ b/crates/engine/src/clock.rs
@@ -1,4 +1,4 @@
-//! The gateway's two clocks: a monotonic one for all spans of time, and the wall clock, which is read here only.
+//! The gateway's two clocks: a monotonic one for all spans of time, and the wall clock, as requests, lists and counts go by it.
 
 use std::rc::Rc;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
--- a/crates/engine/src/rules.rs
+++ b/crates/engine/src/rules.rs
@@ -11,14 +11,14 @@
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::time::Instant;
-use turndeck::RequestId;
+use turndeck::{RequestId, GONE_SLACK_US, HELD_UP_US};
 
-/// A process may be held up for so long between its check and the write; the latest start allows for that.
-const HELD_UP: Duration = Duration::from_millis(150);
+/// As the latest start allows for.
+const HELD_UP: Duration = Duration::from_micros(HELD_UP_US);
 /// What the protocol allows beyond each limit on time.
 const TIME_LIMIT_SLACK: Duration = Duration::from_millis(50);
-/// An attempt may begin so long after its client has gone, at most.
-const CLIENT_GONE_SLACK: Duration = Duration::from_millis(100);
+/// As the decisions allow for.
+const CLIENT_GONE_SLACK: Duration = Duration::from_micros(GONE_SLACK_US);
 /// The time that a server is told may be so much more than its client has left, at most.
 const TOLD_TIME_SLACK: Duration = Duration::from_millis(150);
 /// A write that takes longer than was allowed for makes the told time wrong by so much at most; the rest of the slack is
--- a/crates/http1/src/server/conversation.rs
+++ b/crates/http1/src/server/conversation.rs
@@ -103,7 +103,7 @@
             let buffer = &mut client.buffer;
             if !begun && !buffer.is_empty() {
                 begun = true;
-                // IdleConnection no longer, for all that can be told.
+                // Idle no longer, for all that can be told.
                 let now = Instant::now();
                 if client.kept {
                     by = now + WHOLE_WITHIN;
--- a/crates/http1/src/server/draining.rs
+++ b/crates/http1/src/server/draining.rs
@@ -81,7 +81,7 @@
         self.draining.set(None);
     }
 
-    /// IdleConnection connections end now, but for those that have hardly come and may be about to ask; the others after their answer.
+    /// Idle connections end now, but for those that have hardly come and may be about to ask; the others after their answer.
     /// In the end there is no time for an answer to what has not come whole: that is turned away.
     pub fn close(&self) {
         if self.leaving.get().is_some_and(|leaving| Instant::now() >= leaving.requests_until) {
--- a/crates/http1/src/server/listener.rs
+++ b/crates/http1/src/server/listener.rs
@@ -74,7 +74,7 @@
         }
     }
 
-    pub(super) async fn serve(self: &Rc<Self>, mut client: Client) {
+    async fn serve(self: &Rc<Self>, mut client: Client) {
         let _ = client.stream.set_nodelay(true);
         let number = client.number;
         debug!(connection = number, "connection.accepted");
@@ -95,7 +95,7 @@
 }
 
 /// Accepts one connection; whether it had to be waited for.
-pub(super) async fn accept_one(listener: &TcpListener) -> (io::Result<(TcpStream, SocketAddr)>, bool) {
+async fn accept_one(listener: &TcpListener) -> (io::Result<(TcpStream, SocketAddr)>, bool) {
     let mut accepting = pin!(listener.accept());
     match poll_once(accepting.as_mut()).await {
         Some(accepted) => (accepted, false),
--- a/crates/turndeck/src/policy/attempts.rs
+++ b/crates/turndeck/src/policy/attempts.rs
@@ -15,8 +15,6 @@
 const PATIENT: f64 = 4.0; // times the usual time of an attempt that one may take while another could follow...
 const LEAST_BOUND: f64 = 0.4; // ...and of the time left at least: most late answers are slow work, not silence
 const UNLEASED_US: f64 = 1_000_000.0; // µs; where no policy is known to hold nothing passes for about a lease
-const HELD_UP_US: Micros = 150_000; // µs; so long a gateway may be held up between reading its clock and writing
-const GONE_SLACK_US: Micros = 100_000; // µs; an attempt may begin so long after its client has gone
 const UNSENT_PERCENT: Micros = 45; // of a request's time, for which it may wait for a server
 
 /// Until when a repeat of this attempt may be written: its last byte comes while servers remember the key, also where the
