Read again: the faults are numbered once, and the soak troubles a server in one way

The preload library and standins::Shim each had the words of the control file; both use crates/faults now (a package of its own, as a library that interposes system calls must not be linked into its users). In the soak's troubles taking a server out stood twice, and a mood and a path for a while were twins: take_server and server_for serve both.

--- a/crates/faultshim/src/control.rs
+++ b/crates/faultshim/src/control.rs
@@ -1,42 +1,14 @@
 //! The control file: an array of native-endian 64-bit words, mapped shared and read at each call.
 //!
-//! The path stands in the environment variable `FAULTSHIM_CONTROL`; without it nothing ever fails. The same numbers
-//! are used by `frosthatch_standins::shim`, which writes the file.
+//! The path stands in the environment variable `FAULTSHIM_CONTROL`; without it nothing ever fails. Its words
+//! are those of `frosthatch_faults`.
 
+use frosthatch_faults::{Fault, WORDS};
 use std::ffi::CString;
 use std::os::unix::ffi::OsStringExt;
 use std::sync::atomic::{AtomicI64, AtomicU64, Ordering::Relaxed};
 use std::sync::OnceLock;
 
-/// A word of the control file. Rates are in calls of a thousand.
-#[derive(Clone, Copy)]
-#[repr(usize)]
-pub enum Word {
-    /// Milliseconds by which the wall clock is off; signed.
-    WallClockOffsetMs = 0,
-    /// Calls of `socket` that fail.
-    Socket = 1,
-    /// Calls of `connect` that fail for want of something on this machine.
-    Connect = 2,
-    /// Calls of `accept` that fail.
-    Accept = 3,
-    /// Calls on sockets that are interrupted by a signal.
-    Interrupted = 4,
-    /// Reads and writes on sockets that move one byte only.
-    Short = 5,
-    /// Reads and writes on connections of the process's own making that find them broken.
-    Broken = 6,
-    /// Writes to files that fail.
-    FileWrite = 7,
-    /// Syncs of files that fail.
-    FileSync = 8,
-    /// Writes to sockets before which the thread is held up...
-    Stall = 9,
-    /// ...for so many milliseconds.
-    StallMs = 10,
-}
-
-const WORDS: usize = 16;
 /// What the file holds at least.
 const BYTES: usize = WORDS * 8;
 
@@ -63,8 +35,8 @@
 }
 
 /// The value of a word now; 0 without a control file.
-pub fn value(word: Word) -> i64 {
-    WORDS_AT.get_or_init(map).map_or(0, |words| words[word as usize].load(Relaxed))
+pub fn value(fault: Fault) -> i64 {
+    WORDS_AT.get_or_init(map).map_or(0, |words| words[fault as usize].load(Relaxed))
 }
 
 static CHANCE: AtomicU64 = AtomicU64::new(0);
@@ -79,8 +51,8 @@
 }
 
 /// Whether this call is one of those that fail by a word's rate.
-pub fn strikes(word: Word) -> bool {
-    let rate = value(word);
+pub fn strikes(fault: Fault) -> bool {
+    let rate = value(fault);
     rate > 0 && random() % 1_000 < rate as u64
 }
 
--- a/crates/faultshim/src/files.rs
+++ b/crates/faultshim/src/files.rs
@@ -1,9 +1,10 @@
 //! Files: writes that find no space or a bad disk, also half-way, and syncs that fail.
 
-use crate::control::{one_of, strikes, Word};
+use crate::control::{one_of, strikes};
 use crate::descriptors::{self, Kind};
 use crate::fail;
 use crate::next::call_next;
+use frosthatch_faults::Fault;
 use libc::{c_char, c_int, c_void, mode_t, size_t, ssize_t, EIO, ENOSPC};
 
 /// Notes a file that was opened for writing.
@@ -31,7 +32,7 @@
 
 /// What a write to a file does: fails, or writes a part of what it should.
 pub fn write_file(fd: c_int, bytes: *const c_void, length: size_t) -> Result<size_t, ssize_t> {
-    if !strikes(Word::FileWrite) {
+    if !strikes(Fault::FileWrite) {
         return Ok(length);
     }
     if length > 1 && crate::control::random().is_multiple_of(2) {
@@ -45,7 +46,7 @@
 /// As for the C library's function.
 #[no_mangle]
 pub unsafe extern "C" fn fsync(fd: c_int) -> c_int {
-    if strikes(Word::FileSync) {
+    if strikes(Fault::FileSync) {
         return fail(one_of(&[EIO, ENOSPC])) as c_int;
     }
     call_next!(c"fsync", fn(c_int) -> c_int, fd)
@@ -55,7 +56,7 @@
 /// As for the C library's function.
 #[no_mangle]
 pub unsafe extern "C" fn fdatasync(fd: c_int) -> c_int {
-    if strikes(Word::FileSync) {
+    if strikes(Fault::FileSync) {
         return fail(one_of(&[EIO, ENOSPC])) as c_int;
     }
     call_next!(c"fdatasync", fn(c_int) -> c_int, fd)
--- a/crates/faultshim/src/sockets.rs
+++ b/crates/faultshim/src/sockets.rs
@@ -1,11 +1,12 @@
 //! Sockets: calls that fail for want of something on this machine, are interrupted, are short, find the connection
 //! broken, or hold the thread up.
 
-use crate::control::{one_of, strikes, value, Word};
+use crate::control::{one_of, strikes, value};
 use crate::descriptors::{self, kind, Kind};
 use crate::fail;
 use crate::files::write_file;
 use crate::next::call_next;
+use frosthatch_faults::Fault;
 use libc::{c_int, c_void, iovec, size_t, sockaddr, socklen_t, ssize_t};
 use libc::{
     EADDRNOTAVAIL, EAGAIN, ECONNABORTED, ECONNRESET, EHOSTUNREACH, EINTR, EMFILE, ENETUNREACH, ENFILE,
@@ -21,7 +22,7 @@
 /// As for the C library's function.
 #[no_mangle]
 pub unsafe extern "C" fn socket(domain: c_int, kind: c_int, protocol: c_int) -> c_int {
-    if internet(domain) && strikes(Word::Socket) {
+    if internet(domain) && strikes(Fault::Socket) {
         return fail(one_of(&[ENFILE, EMFILE, ENOBUFS, ENOMEM])) as c_int;
     }
     let fd = call_next!(c"socket", fn(c_int, c_int, c_int) -> c_int, domain, kind, protocol);
@@ -36,10 +37,10 @@
     // SAFETY: an address has its family at its beginning.
     let domain = if address.is_null() { 0 } else { c_int::from(unsafe { (*address).sa_family }) };
     if internet(domain) {
-        if strikes(Word::Interrupted) {
+        if strikes(Fault::Interrupted) {
             return fail(EINTR) as c_int;
         }
-        if strikes(Word::Connect) {
+        if strikes(Fault::Connect) {
             return fail(one_of(&[EADDRNOTAVAIL, ENETUNREACH, ENOBUFS, EAGAIN])) as c_int;
         }
         descriptors::set(fd, Kind::Connected);
@@ -56,10 +57,10 @@
     length: *mut socklen_t,
     flags: c_int,
 ) -> c_int {
-    if strikes(Word::Interrupted) {
+    if strikes(Fault::Interrupted) {
         return fail(EINTR) as c_int;
     }
-    if strikes(Word::Accept) {
+    if strikes(Fault::Accept) {
         return fail(one_of(&[ECONNABORTED, EMFILE, ENFILE, ENOBUFS, ENOMEM, EPROTO])) as c_int;
     }
     let accepted = call_next!(
@@ -80,20 +81,20 @@
     if of != Kind::Connected && of != Kind::Accepted {
         return Ok(length);
     }
-    if strikes(Word::Interrupted) {
+    if strikes(Fault::Interrupted) {
         return Err(fail(EINTR));
     }
-    if of == Kind::Connected && strikes(Word::Broken) {
+    if of == Kind::Connected && strikes(Fault::Broken) {
         return Err(fail(one_of(&[ETIMEDOUT, EHOSTUNREACH, ECONNRESET])));
     }
-    Ok(if strikes(Word::Short) { length.min(1) } else { length })
+    Ok(if strikes(Fault::Short) { length.min(1) } else { length })
 }
 
 /// Holds the thread up before a write, as where the machine does something else meanwhile.
 fn stall(fd: c_int) {
     let socket = matches!(kind(fd), Kind::Connected | Kind::Accepted);
-    if socket && strikes(Word::Stall) {
-        std::thread::sleep(Duration::from_millis(value(Word::StallMs).max(0) as u64));
+    if socket && strikes(Fault::Stall) {
+        std::thread::sleep(Duration::from_millis(value(Fault::StallMs).max(0) as u64));
     }
 }
 
--- a/crates/faultshim/src/wall_clock.rs
+++ b/crates/faultshim/src/wall_clock.rs
@@ -1,7 +1,8 @@
 //! The wall clock, stepped by the control file's offset. Monotonic clocks are left alone.
 
-use crate::control::{value, Word};
+use crate::control::value;
 use crate::next::call_next;
+use frosthatch_faults::Fault;
 use libc::{c_int, clockid_t, timespec};
 
 const MS_PER_S: i64 = 1_000;
@@ -13,7 +14,7 @@
 #[no_mangle]
 pub unsafe extern "C" fn clock_gettime(clock: clockid_t, time: *mut timespec) -> c_int {
     let done = call_next!(c"clock_gettime", fn(clockid_t, *mut timespec) -> c_int, clock, time);
-    let offset_ms = value(Word::WallClockOffsetMs);
+    let offset_ms = value(Fault::WallClockOffsetMs);
     let wall = clock == libc::CLOCK_REALTIME || clock == libc::CLOCK_REALTIME_COARSE;
     if done == 0 && wall && offset_ms != 0 {
         // SAFETY: the C library has just written there.
--- a/crates/lab/src/soak/troubles.rs
+++ b/crates/lab/src/soak/troubles.rs
@@ -16,6 +16,8 @@
 const AT_ONCE: usize = 4;
 /// Cells of servers, each with a memory of its own.
 const CELLS: u64 = 3;
+/// With fewer servers none is taken away.
+const LEAST_SERVERS: usize = 4;
 const HOUR_MS: i64 = 3_600_000;
 
 /// One kind of trouble.
@@ -109,21 +111,19 @@
         self.servers.lock().expect("servers").push(server);
     }
 
-    fn some_server(&self, chance: &mut Chance) -> Option<usize> {
-        let servers = self.servers.lock().expect("servers");
-        (!servers.is_empty()).then(|| chance.below(servers.len()))
+    /// Takes one out of the servers, if enough stay.
+    fn take_server(&self, chance: &mut Chance) -> Option<Server> {
+        let mut servers = self.servers.lock().expect("servers");
+        if servers.len() < LEAST_SERVERS {
+            return None;
+        }
+        let nth = chance.below(servers.len());
+        Some(servers.swap_remove(nth))
     }
 
     /// Takes a server off, which drains and then goes.
     fn drain_one(&self, chance: &mut Chance, drains_for: Duration) {
-        let server = {
-            let mut servers = self.servers.lock().expect("servers");
-            if servers.len() < 4 {
-                return;
-            }
-            let nth = chance.below(servers.len());
-            servers.swap_remove(nth)
-        };
+        let Some(server) = self.take_server(chance) else { return };
         self.note(format!("{} drains for {drains_for:?}", server.uid));
         self.discovery.drain(&server.uid);
         thread::sleep(drains_for);
@@ -200,47 +200,57 @@
             Mood::NoLength,
             Mood::Slow,
         ];
-        let (Some(nth), mood) = (self.some_server(chance), *chance.pick(&moods)) else { return };
-        let uid = {
-            let servers = self.servers.lock().expect("servers");
-            let Some(server) = servers.get(nth) else { return };
-            server.set_mood(mood);
-            server.uid.clone()
-        };
-        self.note(format!("{uid} {mood:?} for {length:?}"));
-        thread::sleep(length);
-        self.on_server(&uid, |server| server.set_mood(Mood::Well));
+        let mood = *chance.pick(&moods);
+        let what = |uid: &str| format!("{uid} {mood:?} for {length:?}");
+        self.server_for(
+            chance,
+            length,
+            what,
+            |server| server.set_mood(mood),
+            |server| server.set_mood(Mood::Well),
+        );
     }
 
     fn server_path(&self, chance: &mut Chance, length: Duration) {
         let ways = [Way::Held, Way::Trickles, Way::CutsRequests, Way::CutsAnswers];
-        let (Some(nth), way) = (self.some_server(chance), *chance.pick(&ways)) else { return };
+        let way = *chance.pick(&ways);
+        let what = |uid: &str| format!("the way to {uid} {way:?} for {length:?}");
+        self.server_for(
+            chance,
+            length,
+            what,
+            |server| server.path().set(way),
+            |server| server.path().set(Way::Open),
+        );
+    }
+
+    /// Something is wrong with one server for so long.
+    fn server_for(
+        &self,
+        chance: &mut Chance,
+        length: Duration,
+        what: impl Fn(&str) -> String,
+        begin: impl Fn(&Server),
+        end: impl Fn(&Server),
+    ) {
         let uid = {
             let servers = self.servers.lock().expect("servers");
-            let Some(server) = servers.get(nth) else { return };
-            server.path().set(way);
+            if servers.is_empty() {
+                return;
+            }
+            let server = chance.pick(&servers);
+            begin(server);
             server.uid.clone()
         };
-        self.note(format!("the way to {uid} {way:?} for {length:?}"));
+        self.note(what(&uid));
         thread::sleep(length);
-        self.on_server(&uid, |server| server.path().set(Way::Open));
-    }
-
-    fn on_server(&self, uid: &str, then: impl Fn(&Server)) {
-        self.servers.lock().expect("servers").iter().filter(|s| s.uid == uid).for_each(then);
+        self.servers.lock().expect("servers").iter().filter(|s| s.uid == uid).for_each(end);
     }
 
     /// A process dies; another takes its place, under a name of its own.
     fn server_restarts(&self, chance: &mut Chance) {
         self.add_server(true);
-        let server = {
-            let mut servers = self.servers.lock().expect("servers");
-            if servers.len() < 4 {
-                return;
-            }
-            let nth = chance.below(servers.len());
-            servers.swap_remove(nth)
-        };
+        let Some(server) = self.take_server(chance) else { return };
         self.note(format!("{} dies", server.uid));
         server.kill();
         thread::sleep(chance.millis(0, 1_000));
--- a/crates/standins/src/shim.rs
+++ b/crates/standins/src/shim.rs
@@ -1,5 +1,7 @@
 //! The preload library that makes system calls fail, as a test controls it.
 
+pub use frosthatch_faults::Fault;
+use frosthatch_faults::WORDS;
 use std::fs::{File, OpenOptions};
 use std::os::unix::fs::FileExt;
 use std::path::{Path, PathBuf};
@@ -9,36 +11,6 @@
 
 /// The library's file.
 const LIBRARY: &str = "libfrosthatch_faultshim.so";
-/// What the control file holds.
-const WORDS: usize = 16;
-
-/// What can be set; the numbers are those of the library's `control` module. Rates are in calls of a thousand.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-#[repr(u64)]
-pub enum Fault {
-    /// Milliseconds by which the wall clock is off.
-    WallClockOffsetMs = 0,
-    /// `socket` fails: ENFILE, EMFILE, ENOBUFS, ENOMEM.
-    Socket = 1,
-    /// `connect` fails for want of something on this machine: EADDRNOTAVAIL, ENETUNREACH, ENOBUFS, EAGAIN.
-    Connect = 2,
-    /// `accept` fails: ECONNABORTED, EMFILE, ENFILE, ENOBUFS, ENOMEM, EPROTO.
-    Accept = 3,
-    /// A call on a socket is interrupted: EINTR.
-    Interrupted = 4,
-    /// A read or write moves one byte.
-    Short = 5,
-    /// A connection that the process made is broken: ETIMEDOUT, EHOSTUNREACH, ECONNRESET.
-    Broken = 6,
-    /// A write to a file fails, also half-way: ENOSPC, EIO.
-    FileWrite = 7,
-    /// A sync of a file fails: EIO, ENOSPC.
-    FileSync = 8,
-    /// The thread is held up before a write to a socket...
-    Stall = 9,
-    /// ...for so many milliseconds.
-    StallMs = 10,
-}
 
 /// All faults of one process, or of several that share them. None is set at first.
 pub struct Shim {
