--- a/crates/frosthatch/tests/system_calls.rs
+++ b/crates/frosthatch/tests/system_calls.rs
@@ -107,6 +107,21 @@
     }
 }
 
+/// Guards against a shortage that hides a server which really refuses: it is left alone beside it all the same.
+#[test]
+fn a_server_that_refuses_is_left_alone_also_during_a_shortage() {
+    let shim = Shim::new();
+    let served = Server::new(|_| ok("served"));
+    let refused = std::net::TcpListener::bind("127.0.0.1:0").and_then(|l| l.local_addr()).expect("a port");
+    let list = [target("a", served.address, 0, "Ready"), target("b", refused, 0, "Ready")];
+    let discovery = Discovery::new(&list.join(","));
+    let gateway = Gateway::start_under(&config_text(discovery.address, None, 1, ""), &shim);
+    gateway.wait_ready();
+    shim.set(Fault::Connect, 300);
+    let all = statuses(&gateway);
+    assert!(share(&all, 200) >= 0.95, "{} served", share(&all, 200));
+}
+
 /// Guards against a start that a moment's shortage makes fail.
 #[test]
 fn a_shortage_at_the_start_is_waited_out() {
