Review, case 2: only requests that were open at the break are repeated

Clients that sent after the break were taken for broken as well. Now only those whose request was open when the connections broke repeat it.

--- a/review/2/case.py
+++ b/review/2/case.py
@@ -51,9 +51,11 @@
         client = await Client(host).connect(ports["gw1"])
         await asyncio.sleep(max(0.0, begin + number * INTERVAL - loop.time()))
         case.note(f"{session}: sent to gw1")
+        sent = loop.time()
         answer = client.send(*request, **terms)
-        await asyncio.wait([answer, broken], timeout=5, return_when=asyncio.FIRST_COMPLETED)
-        if not answer.done() and broken.done():
+        if not broken.done():
+            await asyncio.wait([answer, broken], timeout=5, return_when=asyncio.FIRST_COMPLETED)
+        if not answer.done() and broken.done() and broken.result() > sent:
             client.close()
             await asyncio.sleep(RECONNECT)
             client = await Client(host).connect(ports["gw1"])
@@ -80,7 +82,7 @@
         gateways["gw1"].send_signal(signal.SIGTERM)
         case.note("SIGTERM to gw1")
         await asyncio.sleep(BREAK_AFTER)
-        broken.set_result(None)
+        broken.set_result(loop.time())
         case.note("all connections to gw1 break")
     done, pending = await asyncio.wait(tills, timeout=15)
     for task in done:
