--- a/review/standins/site_parts.py
+++ b/review/standins/site_parts.py
@@ -104,7 +104,9 @@
 
     def __init__(self, folder):
         self.folder = pathlib.Path(folder).resolve()
-        self.tmp = pathlib.Path(tempfile.mkdtemp(prefix="review-"))
+        # A short path: the socket of a replacement lies in the folder, and its path has at most 90 bytes.
+        short = len(tempfile.gettempdir()) <= 40
+        self.tmp = pathlib.Path(tempfile.mkdtemp(prefix="review-", dir=None if short else "/tmp"))
         self.record_file = open(self.folder / "record.txt", "w")
         self.started = time.time()
         self.processes = []
