Diameter: an attempt is over when its server has answered or the connection has ended

Cause: the decisions took an attempt for over when the gateway stopped waiting for it. Over HTTP the connection is closed at that moment; a Diameter connection carries other requests and stays, and so does what was written to it. Evidence: events of the case on show 12 attempts that ended as NoAnswer, each followed by a send to the other server, and 12 charges with two attempts. Ruled out by the same events: the watchdog (no ConnectionLost) and cancelled attempts (none).

Change: Payload::can_cancel_attempts says whether the gateway can end an attempt. Where it cannot, the engine reports Event::Overdue at the time limit: it counts against the server, and the attempt stays in flight for the effect rule and the customer's permits. A queued message can be withdrawn (WriteHandle) at the time limit, when the watchdog suspects the server, and when the server drains; a message written in part when its permit lapses ends its connection. A check whose client leaves goes on if a server has it, so that its repeat joins it. A repeatable request with an overdue attempt fails at its latency objective, any other at its client's deadline; neither is refused.

Not done: closing the connection at the time limit; a hanging server runs what lies in its receive buffer all the same, and REOPEN takes two intervals.

--- a/crates/diameter/src/credit.rs
+++ b/crates/diameter/src/credit.rs
@@ -105,11 +105,17 @@
     }
 
     /// Removes disconnected clients from a request. The request stays in flight, because a duplicate may arrive on another
-    /// connection (RFC 6733 section 5.5.4).
-    pub fn remove_clients(&mut self, key: &RequestKey, is_disconnected: impl Fn(&C) -> bool) {
-        if let Some(clients) = self.duplicates.waiting_clients(key) {
-            clients.retain(|client| !is_disconnected(client));
-        }
+    /// connection (RFC 6733 section 5.5.4). Returns whether the request is in flight and no client remains.
+    pub fn remove_clients(
+        &mut self,
+        key: &RequestKey,
+        is_disconnected: impl Fn(&C) -> bool,
+    ) -> bool {
+        let Some(clients) = self.duplicates.waiting_clients(key) else {
+            return false;
+        };
+        clients.retain(|client| !is_disconnected(client));
+        clients.is_empty()
     }
 
     /// Removes disconnected clients from a request, and the request itself if no client remains. Returns whether the
@@ -119,11 +125,7 @@
         key: &RequestKey,
         is_disconnected: impl Fn(&C) -> bool,
     ) -> bool {
-        let Some(clients) = self.duplicates.waiting_clients(key) else {
-            return false;
-        };
-        clients.retain(|client| !is_disconnected(client));
-        let has_no_clients = clients.is_empty();
+        let has_no_clients = self.remove_clients(key, is_disconnected);
         if has_no_clients {
             self.duplicates.remove(key);
         }
--- a/crates/diameter/src/front/in_flight.rs
+++ b/crates/diameter/src/front/in_flight.rs
@@ -1,8 +1,10 @@
 //! Requests that have been submitted to the engine and are not answered yet.
 
 use crate::credit::RequestKey;
+use crate::servers::AttemptHistory;
 use frosthatch_traffic_control::RequestId;
 use std::collections::HashMap;
+use std::rc::Rc;
 
 /// A request in flight.
 #[derive(Clone)]
@@ -12,6 +14,8 @@
     pub(super) is_charge: bool,
     /// Approximate memory use of the request's AVPs.
     pub(super) bytes: usize,
+    /// What the request's attempts have come to.
+    pub(super) history: Rc<AttemptHistory>,
 }
 
 /// All requests in flight, with the sum of their memory use.
--- a/crates/diameter/src/front/requests.rs
+++ b/crates/diameter/src/front/requests.rs
@@ -7,10 +7,9 @@
 use crate::dictionary::{code, result};
 use crate::lcg;
 use crate::link::Link;
-use crate::servers::OutgoingRequest;
+use crate::servers::{AttemptHistory, OutgoingRequest};
 use frosthatch_engine::{IncomingRequest, Protocol, Response};
 use frosthatch_traffic_control::{CustomerId, Request, RequestId, ServerId};
-use std::cell::RefCell;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::task::spawn_local;
@@ -26,8 +25,7 @@
     id: RequestId,
     key: RequestKey,
     ccr: Rc<Message>,
-    /// Server that sent the answer; set by the attempt.
-    answered_by: Rc<RefCell<Option<ServerId>>>,
+    history: Rc<AttemptHistory>,
     /// Answer to send if no server answers.
     error_answer: Message,
 }
@@ -109,12 +107,13 @@
             error_answer: link.gateway_answer(&ccr, result::UNABLE_TO_COMPLY),
             key,
             ccr: Rc::new(ccr),
-            answered_by: Rc::default(),
+            history: Rc::default(),
         };
         let in_flight = InFlightRequest {
             key: submission.key.clone(),
             is_charge: credit_request.class == self.config().mapping.charge_class,
             bytes: submission.ccr.memory_bytes(),
+            history: submission.history.clone(),
         };
         let incoming =
             self.incoming_request(&submission, client_host, credit_request, sticky_server);
@@ -188,8 +187,7 @@
             ccr: submission.ccr.clone(),
             client_host: client_host.into(),
             servers: self.servers.clone(),
-            answered_by: submission.answered_by.clone(),
-            may_have_executed: Rc::default(),
+            history: submission.history.clone(),
         };
         IncomingRequest {
             request,
@@ -204,11 +202,11 @@
             id,
             key,
             ccr,
-            answered_by,
+            history,
             error_answer,
         } = submission;
         self.in_flight.borrow_mut().remove(id);
-        let answered_by = answered_by.borrow().clone();
+        let answered_by = history.answered_by();
         let is_rejected = matches!(response, Response::Rejected { .. });
         let mut answer = match response {
             Response::Served(bytes) => Message::decode(bytes).unwrap_or(error_answer),
--- a/crates/diameter/src/link.rs
+++ b/crates/diameter/src/link.rs
@@ -5,7 +5,7 @@
 mod write_queue;
 
 pub use end::LinkEndReason;
-pub use write_queue::{QueuedMessage, SentAttempt, WriteBudget};
+pub use write_queue::{QueuedMessage, SentAttempt, WriteBudget, WriteHandle};
 
 use crate::codec::{self, Fault, Message};
 use crate::peer::{DisconnectCause, Input, Output, Peer, RemoteIdentity};
@@ -31,6 +31,8 @@
 const MAX_TIMER_WAIT_US: u64 = 1_000_000;
 /// Maximum number of checks whether the messages queued at closing have been written.
 const MAX_FLUSH_CHECKS: usize = 20;
+/// Interval between two checks whether an attempt that is written in part may still be written.
+const PERMIT_CHECK_INTERVAL: Duration = Duration::from_millis(10);
 /// Interval between two checks whether the messages queued at closing have been written.
 const FLUSH_CHECK_INTERVAL: Duration = Duration::from_millis(5);
 
@@ -113,15 +115,18 @@
     }
 
     /// Queues the message of an attempt, which is written only if `permit` still allows the write when the message reaches
-    /// the head of the queue. Returns `None` under the same conditions as [`send`](Self::send).
+    /// the head of the queue, and if it was not withdrawn before. If the permit lapses while the message is written in
+    /// part, the connection ends, so that the server never gets the rest. Returns `None` under the same conditions as [`send`](Self::send).
     pub fn send_attempt(&self, message: &Message, permit: AttemptPermit) -> Option<SentAttempt> {
         let (sender, denied) = oneshot::channel();
+        let write = WriteHandle::new();
         let attempt = QueuedAttempt {
             permit,
+            write: write.clone(),
             denied: sender,
         };
         let end = self.queue_within_budget(message.encode(), Some(attempt))?;
-        Some(SentAttempt { end, denied })
+        Some(SentAttempt { end, write, denied })
     }
 
     /// Queues an answer. Abandons the connection if the write budget or the queue has no room for the answer, usually because
@@ -161,41 +166,87 @@
         let (reader, writer) = io::split(Uninterrupted(stream));
         tokio::select! {
             end = self.read_messages(reader, on_event) => end,
-            () = self.write_messages(writer, queued_messages) => LinkEndReason::WriteFailed,
+            end = self.write_messages(writer, queued_messages) => end,
         }
     }
 
-    /// Writes queued messages until a write fails.
+    /// Writes queued messages until a write fails or an attempt's permit lapses during its write.
     async fn write_messages(
         &self,
         mut writer: impl AsyncWrite + Unpin,
         mut queued_messages: mpsc::Receiver<QueuedMessage>,
-    ) {
+    ) -> LinkEndReason {
         while let Some(QueuedMessage { bytes, attempt }) = queued_messages.recv().await {
-            let mut permit = None;
-            if let Some(attempt) = attempt {
-                // The permit may have lapsed while the message was queued because the peer was slow to read.
-                if let Err(denied) = attempt.permit.check() {
-                    let _ = attempt.denied.send(denied);
-                    self.release(bytes.len());
-                    continue;
-                }
-                permit = Some(attempt.permit);
-            }
-            if writer.write_all(&bytes).await.is_err() {
-                return;
-            }
-            // There is no await between the last byte and this line, so that a sent message never counts as unwritten.
-            if let Some(permit) = permit {
-                permit.record_written(None);
+            let written = match attempt {
+                None => self.write_message(&mut writer, &bytes).await,
+                Some(attempt) => self.write_attempt(&mut writer, &bytes, attempt).await,
+            };
+            if let Err(end) = written {
+                return end;
             }
+        }
+        LinkEndReason::WriteFailed
+    }
+
+    /// Writes the message of an attempt, or discards it if it was withdrawn or its permit has lapsed while it was queued
+    /// because the peer was slow to read.
+    ///
+    /// # Errors
+    /// Returns the reason if the connection has to end.
+    async fn write_attempt(
+        &self,
+        writer: &mut (impl AsyncWrite + Unpin),
+        bytes: &[u8],
+        attempt: QueuedAttempt,
+    ) -> Result<(), LinkEndReason> {
+        let QueuedAttempt {
+            permit,
+            write,
+            denied,
+        } = attempt;
+        if let Err(reason) = permit.check() {
+            write.withdraw();
+            let _ = denied.send(reason);
+        }
+        if !write.begin() {
             self.release(bytes.len());
-            if writer.flush().await.is_err() {
-                return;
+            return Ok(());
+        }
+        let written = self.write_message(writer, bytes);
+        tokio::pin!(written);
+        loop {
+            tokio::select! {
+                biased;
+                written = &mut written => {
+                    written?;
+                    permit.record_written(None);
+                    return Ok(());
+                }
+                () = sleep(PERMIT_CHECK_INTERVAL) => {
+                    if permit.check().is_err() {
+                        return Err(LinkEndReason::AttemptLapsed);
+                    }
+                }
             }
         }
     }
 
+    /// Writes a message.
+    ///
+    /// # Errors
+    /// Returns the reason if the write fails.
+    async fn write_message(
+        &self,
+        writer: &mut (impl AsyncWrite + Unpin),
+        bytes: &[u8],
+    ) -> Result<(), LinkEndReason> {
+        let failed = |_| LinkEndReason::WriteFailed;
+        writer.write_all(bytes).await.map_err(failed)?;
+        // There is no await between the last byte and this line, so that a sent message never counts as unwritten.
+        self.release(bytes.len());
+        writer.flush().await.map_err(failed)
+    }
+
     /// Reads messages and handles timers until the connection ends.
     async fn read_messages(
         &self,
--- a/crates/diameter/src/link/end.rs
+++ b/crates/diameter/src/link/end.rs
@@ -26,6 +26,9 @@
     /// Writing to the transport failed.
     #[error("write to the connection failed")]
     WriteFailed,
+    /// A request could not be written completely while it was of use, because the server does not read fast enough.
+    #[error("server did not read a whole request in time")]
+    AttemptLapsed,
     /// The TLS handshake failed.
     #[error(transparent)]
     TlsFailed(#[from] std::io::Error),
--- a/crates/diameter/src/link/tests.rs
+++ b/crates/diameter/src/link/tests.rs
@@ -1,4 +1,4 @@
-use super::{Link, QueuedMessage, WriteBudget};
+use super::{Link, LinkEndReason, QueuedMessage, WriteBudget};
 use crate::codec::{Avp, Header, Message};
 use crate::dictionary::{code, command};
 use crate::peer::{Identity, Peer, Role};
@@ -85,3 +85,50 @@
     };
     LocalSet::new().run_until(test).await;
 }
+
+/// Guards against a second attempt beside a queued one that counts as never sent, and is written later all the same.
+#[tokio::test]
+async fn an_attempt_is_withdrawn_only_before_its_write_begins_and_is_never_written_then() {
+    let test = async {
+        let (link, queued_messages) = link();
+        let (near_end, far_end) = tokio::io::duplex(TRANSPORT_BUFFER_BYTES);
+        let running = link.clone();
+        spawn_local(async move { running.run(near_end, queued_messages, |_| ()).await });
+        let client = ClientPresence::default();
+        let [first, second] = ["session-one", "session-two"].map(|session| {
+            link.send_attempt(&message(session), permit(&client))
+                .expect("write queue has room")
+        });
+        tokio::task::yield_now().await;
+        assert!(first.write.has_begun() && !second.write.has_begun());
+        assert!(!first.write.withdraw(), "some of it may be written");
+        assert!(second.write.withdraw());
+        let read = read_all(far_end).await;
+        assert!(read.contains("session-one"), "{read:?}");
+        assert!(!read.contains("session-two"), "{read:?}");
+    };
+    LocalSet::new().run_until(test).await;
+}
+
+/// Guards against an attempt that begins at its server, with its last byte, long after its client has gone.
+#[tokio::test]
+async fn a_connection_ends_when_the_client_of_a_partly_written_attempt_leaves() {
+    let test = async {
+        let (link, queued_messages) = link();
+        let (near_end, far_end) = tokio::io::duplex(TRANSPORT_BUFFER_BYTES);
+        let running = link.clone();
+        let run = spawn_local(async move { running.run(near_end, queued_messages, |_| ()).await });
+        let client = ClientPresence::default();
+        let attempt = link
+            .send_attempt(&message("session-one"), permit(&client))
+            .expect("write queue has room");
+        tokio::task::yield_now().await;
+        client.record_gone();
+        let end = timeout(Duration::from_secs(1), run).await;
+        assert!(matches!(end, Ok(Ok(LinkEndReason::AttemptLapsed))));
+        assert!(!link.has_written(attempt.end));
+        let read = read_all(far_end).await;
+        assert!(read.len() <= TRANSPORT_BUFFER_BYTES, "{read:?}");
+    };
+    LocalSet::new().run_until(test).await;
+}
--- a/crates/diameter/src/link/write_queue.rs
+++ b/crates/diameter/src/link/write_queue.rs
@@ -54,10 +54,54 @@
     pub(super) attempt: Option<QueuedAttempt>,
 }
 
+/// Whether the message of an attempt has begun to be written.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum WriteState {
+    Queued,
+    /// Some or all of the message may have been written, and the rest follows unless the connection ends.
+    Begun,
+    /// The message is never written.
+    Withdrawn,
+}
+
+/// Handle of an attempt's queued message. All clones refer to the same message.
+#[derive(Clone, Debug)]
+pub struct WriteHandle(Rc<Cell<WriteState>>);
+
+impl WriteHandle {
+    /// Creates the handle of a message that has not begun to be written.
+    pub(crate) fn new() -> WriteHandle {
+        WriteHandle(Rc::new(Cell::new(WriteState::Queued)))
+    }
+
+    /// Returns whether the message has begun to be written.
+    pub fn has_begun(&self) -> bool {
+        self.0.get() == WriteState::Begun
+    }
+
+    /// Withdraws the message unless it has begun to be written. Returns whether the message is never written.
+    pub fn withdraw(&self) -> bool {
+        if self.0.get() == WriteState::Queued {
+            self.0.set(WriteState::Withdrawn);
+        }
+        self.0.get() == WriteState::Withdrawn
+    }
+
+    /// Records that the message begins to be written. Returns `false` if it was withdrawn.
+    pub(crate) fn begin(&self) -> bool {
+        if self.0.get() == WriteState::Withdrawn {
+            return false;
+        }
+        self.0.set(WriteState::Begun);
+        true
+    }
+}
+
 /// The attempt that a queued message belongs to.
 pub(super) struct QueuedAttempt {
-    /// Permission to write the message, checked immediately before the write.
+    /// Permission to write the message, checked immediately before the write and while the write is incomplete.
     pub(super) permit: AttemptPermit,
+    pub(super) write: WriteHandle,
     /// Receives the reason if the message is not written.
     pub(super) denied: oneshot::Sender<WriteDenied>,
 }
@@ -66,6 +110,8 @@
 pub struct SentAttempt {
     /// Position of the message's end in the byte stream, for [`Link::has_written`](super::Link::has_written).
     pub end: u64,
+    /// Handle of the message, to withdraw it while it is queued.
+    pub write: WriteHandle,
     /// Receives the reason if the message is not written; closed without a value if it is written.
     pub denied: oneshot::Receiver<WriteDenied>,
 }
--- a/crates/diameter/src/servers.rs
+++ b/crates/diameter/src/servers.rs
@@ -5,7 +5,7 @@
 mod connection;
 mod server;
 
-pub use attempt::OutgoingRequest;
+pub use attempt::{AttemptHistory, OutgoingRequest};
 
 use crate::link::WriteBudget;
 use crate::peer::{DisconnectCause, Identity};
@@ -135,6 +135,9 @@
         }
         if let Some(server) = servers.get(&id) {
             server.is_ready.set(endpoint.state == EndpointState::Ready);
+            if !server.is_ready.get() {
+                server.withdraw_queued();
+            }
             server.disconnect_if_drained();
         }
     }
--- a/crates/diameter/src/servers/attempt.rs
+++ b/crates/diameter/src/servers/attempt.rs
@@ -4,15 +4,20 @@
 use super::Servers;
 use crate::codec::Message;
 use crate::credit::{classify_answer, forwarded_request, AnswerClass};
-use crate::link::SentAttempt;
+use crate::link::{SentAttempt, WriteHandle};
 use crate::overload::announce_support;
 use frosthatch_engine::{Attempt, AttemptPermit, AttemptResult, Payload, WriteDenied};
 use frosthatch_traffic_control::{CompletionStatus, ServerId};
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
+use std::time::Duration;
 use tokio::sync::oneshot;
 use tokio::time::{timeout_at, Instant};
 
+/// Time after an attempt's deadline for which it counts as in flight at a server that answers other requests. Answers may
+/// be lost without the connection ending, and the attempt must not take the place of others forever.
+const MAX_ANSWER_DELAY: Duration = Duration::from_secs(30);
+
 /// A client's request, which may be sent to several servers in succession.
 #[derive(Clone)]
 pub struct OutgoingRequest {
@@ -22,10 +27,46 @@
     pub client_host: String,
     /// Servers that the request may be sent to.
     pub servers: Rc<Servers>,
-    /// Server that sent the answer for the client; `None` until an attempt has served the request.
-    pub answered_by: Rc<RefCell<Option<ServerId>>>,
-    /// Whether an earlier attempt may have been executed.
-    pub may_have_executed: Rc<Cell<bool>>,
+    /// What the request's attempts have come to.
+    pub history: Rc<AttemptHistory>,
+}
+
+/// What the attempts of one request have come to.
+#[derive(Debug, Default)]
+pub struct AttemptHistory {
+    answered_by: RefCell<Option<ServerId>>,
+    /// Whether an attempt that has ended may have been executed.
+    ended_attempt_may_have_executed: Cell<bool>,
+    /// Message of the attempt in flight.
+    current_write: RefCell<Option<WriteHandle>>,
+}
+
+impl AttemptHistory {
+    /// Returns the server that sent the answer for the client; `None` until an attempt has served the request.
+    pub fn answered_by(&self) -> Option<ServerId> {
+        self.answered_by.borrow().clone()
+    }
+
+    /// Returns whether a server may have executed the request or may still do so.
+    pub fn may_have_executed(&self) -> bool {
+        let current_write = self.current_write.borrow();
+        let is_at_server = current_write.as_ref().is_some_and(WriteHandle::has_begun);
+        is_at_server || self.ended_attempt_may_have_executed.get()
+    }
+
+    fn record_sent(&self, write: WriteHandle) {
+        *self.current_write.borrow_mut() = Some(write);
+    }
+
+    fn record_end(&self, server: ServerId, status: CompletionStatus) {
+        *self.current_write.borrow_mut() = None;
+        if !status.never_ran() {
+            self.ended_attempt_may_have_executed.set(true);
+        }
+        if status == CompletionStatus::Served {
+            *self.answered_by.borrow_mut() = Some(server);
+        }
+    }
 }
 
 impl Payload for OutgoingRequest {
@@ -33,35 +74,27 @@
         let request = self.clone();
         let server = server.clone();
         Box::pin(async move {
-            let result = request
-                .servers
-                .attempt(&server, &request, deadline, permit)
-                .await;
-            if result.status == CompletionStatus::Served {
-                *request.answered_by.borrow_mut() = Some(server);
-            }
-            let may_have_executed = request.may_have_executed.get() || !result.status.never_ran();
-            request.may_have_executed.set(may_have_executed);
+            let sent = request.servers.send(&server, &request, permit);
+            // The message is not kept: an attempt may last much longer than its request.
+            let OutgoingRequest {
+                servers, history, ..
+            } = request;
+            let result = match sent {
+                Ok(pending) => servers.wait_for_outcome(pending, deadline).await,
+                Err(status) => AttemptResult::without_response(status),
+            };
+            history.record_end(server, result.status);
             result
         })
     }
-}
 
-impl Servers {
-    /// Sends a request to a server and waits for the outcome.
-    async fn attempt(
-        &self,
-        id: &ServerId,
-        request: &OutgoingRequest,
-        deadline: Instant,
-        permit: AttemptPermit,
-    ) -> AttemptResult {
-        match self.send(id, request, permit) {
-            Ok(pending) => self.wait_for_outcome(pending, deadline).await,
-            Err(status) => AttemptResult::without_response(status),
-        }
+    fn can_cancel_attempts(&self) -> bool {
+        // The connection carries other requests, and nothing in the protocol takes a request back.
+        false
     }
+}
 
+impl Servers {
     /// Queues a request on the connection to a server.
     ///
     /// # Errors
@@ -90,18 +123,20 @@
             &request.ccr,
             &request.client_host,
             hop_by_hop,
-            request.may_have_executed.get(),
+            request.history.may_have_executed(),
         );
         announce_support(&mut message);
         if permit.check().is_err() {
             return Err(CompletionStatus::NotSent);
         }
-        let SentAttempt { end, denied } = link
+        let SentAttempt { end, write, denied } = link
             .send_attempt(&message, permit)
             .ok_or(CompletionStatus::NoConnection)?;
+        request.history.record_sent(write.clone());
         let (sender, answer) = oneshot::channel();
         let pending_request = PendingRequest {
             answer: sender,
+            write: write.clone(),
             end,
         };
         server
@@ -111,31 +146,36 @@
         Ok(PendingAttempt {
             server,
             hop_by_hop,
+            write,
             denied,
             answer,
         })
     }
 
-    /// Waits until a sent attempt is answered, fails or times out.
+    /// Waits until a sent attempt is over: until it is answered, its connection ends, or it is withdrawn before it was
+    /// written. The last happens at `deadline`; what was written by then remains with the server.
     async fn wait_for_outcome(
         &self,
         mut attempt: PendingAttempt,
         deadline: Instant,
     ) -> AttemptResult {
-        let received = tokio::select! {
-            biased;
-            Ok(_) = &mut attempt.denied => {
-                return AttemptResult::without_response(CompletionStatus::NotSent);
-            }
-            received = timeout_at(deadline, &mut attempt.answer) => received,
+        let server = attempt.server.clone();
+        let write = attempt.write.clone();
+        let ending = attempt.wait_for_end();
+        tokio::pin!(ending);
+        let end = match timeout_at(deadline, &mut ending).await {
+            Ok(end) => end,
+            Err(_) if write.withdraw() => AttemptEnd::NotWritten,
+            Err(_) => timeout_at(deadline + MAX_ANSWER_DELAY, &mut ending)
+                .await
+                .unwrap_or(AttemptEnd::AnswerLost),
         };
-        let status = match received {
-            Ok(Ok(Some(answer))) => return self.process_answer(&attempt.server, &answer),
-            Ok(Ok(None)) => CompletionStatus::NoConnection,
-            Ok(Err(_)) => CompletionStatus::ConnectionLost,
-            // This status also applies to a request that is still queued: it cannot be removed from the queue, so it may
-            // still be written and executed.
-            Err(_) => CompletionStatus::NoAnswer,
+        let status = match end {
+            AttemptEnd::Answered(answer) => return self.process_answer(&server, &answer),
+            AttemptEnd::Denied => CompletionStatus::NotSent,
+            AttemptEnd::NotWritten => CompletionStatus::NoConnection,
+            AttemptEnd::ConnectionLost => CompletionStatus::ConnectionLost,
+            AttemptEnd::AnswerLost => CompletionStatus::NoAnswer,
         };
         AttemptResult::without_response(status)
     }
@@ -155,17 +195,48 @@
     }
 }
 
-/// A sent attempt. Dropping it removes its pending request, so that a late answer is ignored, and
-/// disconnects the server if it is draining and no other request is pending.
+/// How a sent attempt ended.
+enum AttemptEnd {
+    /// The server answered.
+    Answered(Message),
+    /// The permit denied the write.
+    Denied,
+    /// The request was not written completely, and never will be.
+    NotWritten,
+    /// The connection ended after the request was written.
+    ConnectionLost,
+    /// The server did not answer for so long that no answer is expected.
+    AnswerLost,
+}
+
+/// A sent attempt. Dropping it removes its pending request, so that a later answer is ignored, and disconnects the
+/// server if it is draining and no other request is pending.
 struct PendingAttempt {
     server: Rc<Server>,
     hop_by_hop: u32,
+    write: WriteHandle,
     denied: oneshot::Receiver<WriteDenied>,
     answer: oneshot::Receiver<Option<Message>>,
 }
 
+impl PendingAttempt {
+    /// Waits for the end of the attempt. To be awaited once.
+    async fn wait_for_end(&mut self) -> AttemptEnd {
+        tokio::select! {
+            biased;
+            Ok(_) = &mut self.denied => AttemptEnd::Denied,
+            answer = &mut self.answer => match answer {
+                Ok(Some(answer)) => AttemptEnd::Answered(answer),
+                Ok(None) => AttemptEnd::NotWritten,
+                Err(_) => AttemptEnd::ConnectionLost,
+            },
+        }
+    }
+}
+
 impl Drop for PendingAttempt {
     fn drop(&mut self) {
+        self.write.withdraw();
         self.server.pending.borrow_mut().remove(&self.hop_by_hop);
         self.server.disconnect_if_drained();
     }
--- a/crates/diameter/src/servers/connection.rs
+++ b/crates/diameter/src/servers/connection.rs
@@ -97,21 +97,20 @@
     fn handle_event(&self, id: &ServerId, server: &Server, event: Event) {
         match event {
             Event::Up(remote) => self.handle_up(id, server, &remote),
-            Event::Failover => {
+            Event::Failover | Event::PeerClosing => {
                 server.is_connection_usable.set(false);
-                server.fail_pending();
+                server.withdraw_queued();
             }
             Event::Failback => {
                 server.is_connection_usable.set(true);
                 server.was_connection_usable.set(true);
             }
-            Event::PeerClosing => server.is_connection_usable.set(false),
-            // An answer that no request waits for is dropped.
             Event::Answer(answer) => {
                 let pending = server
                     .pending
                     .borrow_mut()
                     .remove(&answer.header.hop_by_hop);
+                // An answer that no request waits for is dropped.
                 if let Some(request) = pending {
                     let _ = request.answer.send(Some(answer));
                 }
--- a/crates/diameter/src/servers/server.rs
+++ b/crates/diameter/src/servers/server.rs
@@ -1,7 +1,7 @@
 //! State of one Diameter server.
 
 use crate::codec::Message;
-use crate::link::Link;
+use crate::link::{Link, WriteHandle};
 use crate::overload::OverloadAbatement;
 use crate::peer::DisconnectCause;
 use std::cell::{Cell, RefCell};
@@ -13,9 +13,11 @@
 
 /// A request that was sent to a server and is not answered yet.
 pub(super) struct PendingRequest {
-    /// Receives the answer, or `None` if the request was never written. Closed without a value if, after the request was
-    /// written, the connection was lost or the watchdog reported a failover: the server may have executed the request.
+    /// Receives the answer, or `None` if the request was not written completely and never will be. Closed without a value
+    /// if the connection was lost after the request was written: the server may have executed the request.
     pub(super) answer: oneshot::Sender<Option<Message>>,
+    /// Handle of the request in the connection's write queue.
+    pub(super) write: WriteHandle,
     /// Position of the request's end in the connection's byte stream.
     pub(super) end: u64,
 }
@@ -90,7 +92,17 @@
         }
     }
 
-    /// Fails all pending requests. A request that was written may have been executed.
+    /// Fails the pending requests that have not begun to be written, as the server accepts no more. It keeps the other
+    /// ones for as long as the connection lasts.
+    pub(super) fn withdraw_queued(&self) {
+        let is_withdrawn = |_: &u32, request: &mut PendingRequest| request.write.withdraw();
+        let requests: Vec<_> = self.pending.borrow_mut().extract_if(is_withdrawn).collect();
+        for (_, request) in requests {
+            let _ = request.answer.send(None);
+        }
+    }
+
+    /// Fails all pending requests at the end of the connection. A request that was written may have been executed.
     pub(super) fn fail_pending(&self) {
         let link = self.link.borrow().clone();
         for (_, request) in self.pending.borrow_mut().drain() {
@@ -105,3 +117,6 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/crates/engine/src/engine/attempts.rs
+++ b/crates/engine/src/engine/attempts.rs
@@ -9,7 +9,7 @@
 };
 use std::rc::Rc;
 use std::time::Duration;
-use tokio::time::Instant;
+use tokio::time::{timeout_at, Instant};
 use tracing::debug;
 
 /// The time limits of an attempt, in microseconds from its start.
@@ -29,7 +29,10 @@
         server: ServerId,
         limits: &AttemptTimeLimits,
     ) {
-        let Some(request) = state.requests.get_mut(id).filter(|r| r.is_open()) else {
+        let Some(request) = state.requests.get_mut(id) else {
+            return;
+        };
+        let Some(payload) = &request.payload else {
             return;
         };
         let attempt = request.attempts.len();
@@ -56,9 +59,16 @@
             self.violations.clone(),
         );
         let deadline = started_at + Duration::from_micros(limits.timeout_us);
-        let running = request.payload.attempt(&server, deadline, permit);
+        let mut running = payload.attempt(&server, deadline, permit);
+        let can_cancel_attempts = request.can_cancel_attempts;
         let engine = self.clone();
         let task = tokio::task::spawn_local(async move {
+            if !can_cancel_attempts {
+                if let Ok(result) = timeout_at(deadline, &mut running).await {
+                    return engine.finish_attempt(id, attempt, result);
+                }
+                engine.report_overdue(id, attempt);
+            }
             let result = running.await;
             engine.finish_attempt(id, attempt, result);
         });
@@ -69,11 +79,13 @@
         }));
     }
 
-    /// Cancels an attempt if it is still running.
+    /// Cancels an attempt if it is still running and can be cancelled. One that cannot goes on, unless it is not written
+    /// yet: then its permit denies the write, as its request is closed.
     pub(super) fn cancel_attempt(&self, state: &mut State, id: RequestId, attempt: u32) {
         let Some(running) = state
             .requests
             .get_mut(id)
+            .filter(|request| request.can_cancel_attempts)
             .and_then(|request| request.take_attempt(attempt as usize))
         else {
             return;
@@ -99,6 +111,35 @@
         state.requests.remove_if_finished(id);
     }
 
+    /// Reports to traffic control that an attempt got no answer within its timeout and goes on.
+    fn report_overdue(self: &Rc<Self>, id: RequestId, attempt: usize) {
+        let elapsed_us = {
+            let mut state = self.state.borrow_mut();
+            let Some(request) = state.requests.get_mut(id) else {
+                return;
+            };
+            let Some(Some(running)) = request.attempts.get(attempt) else {
+                return;
+            };
+            let elapsed_us = running.elapsed_us();
+            debug!(
+                target: EVENT_TARGET,
+                request = id.0,
+                attempt,
+                server = %running.server.0,
+                elapsed = elapsed_us,
+                "attempt.overdue"
+            );
+            request.last_attempt_timed_out = true;
+            elapsed_us
+        };
+        self.feed(Event::Overdue {
+            request: id,
+            attempt: attempt as u32,
+            elapsed_us,
+        });
+    }
+
     /// Records the result of an attempt that has ended by itself, and feeds its outcome to traffic control.
     fn finish_attempt(self: &Rc<Self>, id: RequestId, attempt: usize, result: AttemptResult) {
         let outcome = {
--- a/crates/engine/src/engine/requests.rs
+++ b/crates/engine/src/engine/requests.rs
@@ -48,13 +48,15 @@
             if state.requests.contains(request.id) {
                 return Err(DuplicateRequest);
             }
+            let can_cancel_attempts = payload.can_cancel_attempts();
             let pending = PendingRequest {
                 class_index: self.counters.class_index(&request.class),
                 response_sender: Some(sender),
                 client: ClientPresence::default(),
                 answer_deadline,
                 client_deadline,
-                payload,
+                payload: Some(payload),
+                can_cancel_attempts,
                 attempts: Vec::new(),
                 last_attempt_timed_out: false,
             };
@@ -88,6 +90,12 @@
         }
     }
 
+    /// Denies further attempts of request `id`, whose client has gone, while the attempt in flight goes on: a server has
+    /// it, and it cannot be cancelled.
+    pub fn deny_further_attempts(self: &Rc<Self>, id: RequestId) {
+        self.feed(Event::Streaming(id));
+    }
+
     /// Returns the number of accepted requests that have no final response yet.
     pub fn open_requests(&self) -> usize {
         self.state.borrow().requests.open_ids().count()
--- a/crates/engine/src/ports/attempt.rs
+++ b/crates/engine/src/ports/attempt.rs
@@ -11,15 +11,22 @@
 /// A boxed future that runs on the engine's single thread.
 pub type BoxedFuture<T> = Pin<Box<dyn Future<Output = T>>>;
 
-/// A running attempt; dropping the future cancels the attempt.
+/// A running attempt. Dropping the future cancels the attempt, if [`Payload::can_cancel_attempts`] says so.
 pub type Attempt = BoxedFuture<AttemptResult>;
 
 /// The part of a client's request that is sent to a server. The front end creates it for the back end of its protocol;
 /// it is opaque to the engine.
 pub trait Payload {
-    /// Makes one attempt on `server`, which ends by `deadline` in any case. A dropped attempt writes no further bytes.
-    /// If `permit` denies the write, the attempt ends as not sent.
+    /// Makes one attempt on `server`. If `permit` denies the write, the attempt ends as not sent.
+    ///
+    /// An attempt that can be cancelled ends by `deadline` in any case, and writes no further bytes once it is dropped.
+    /// One that cannot is not begun after `deadline`; it may end later.
     fn attempt(&self, server: &ServerId, deadline: Instant, permit: AttemptPermit) -> Attempt;
+
+    /// Whether the gateway can end an attempt by itself. On a connection that carries one request it closes the
+    /// connection. On a connection that carries many it cannot: the server may execute what was written until it
+    /// answers or the connection ends, so the attempt is not over before.
+    fn can_cancel_attempts(&self) -> bool;
 }
 
 /// The result of an attempt: how it ended, and its response, if there is one.
--- a/crates/engine/src/request_table.rs
+++ b/crates/engine/src/request_table.rs
@@ -39,8 +39,11 @@
     pub answer_deadline: Instant,
     /// When the client stops waiting for the response, or the last answer deadline of the process if that is earlier.
     pub client_deadline: Instant,
-    /// The part of the request that each attempt sends to a server.
-    pub payload: Box<dyn Payload>,
+    /// The part of the request that each attempt sends to a server; `None` once the request is closed, as attempts may
+    /// last much longer.
+    pub payload: Option<Box<dyn Payload>>,
+    /// Whether attempts can be cancelled; see [`Payload::can_cancel_attempts`].
+    pub can_cancel_attempts: bool,
     /// The attempts, indexed by attempt number; `None` for an attempt that has ended.
     pub attempts: Vec<Option<RunningAttempt>>,
     /// Whether the attempt that ended last received no response in time.
@@ -56,6 +59,7 @@
     /// Closes the request, so that no response is sent any more; returns the sender if the request was open.
     pub fn close(&mut self) -> Option<oneshot::Sender<Response>> {
         self.client.record_gone();
+        self.payload = None;
         self.response_sender.take()
     }
 
@@ -80,8 +84,8 @@
     }
 }
 
-/// The requests that the engine holds, by id. The number of client connections bounds the table: each connection has at
-/// most one request, which is closed when the client goes.
+/// The requests that the engine holds, by id. The front ends bound the open requests, over HTTP by the number of client
+/// connections and over Diameter in bytes. The back ends bound the attempts that outlast their requests.
 #[derive(Default)]
 pub struct RequestTable(HashMap<RequestId, PendingRequest>);
 
--- a/crates/frosthatch/tests/diameter.rs
+++ b/crates/frosthatch/tests/diameter.rs
@@ -1,45 +1,20 @@
 //! The gateway binary with Diameter credit control between client and server test doubles.
 
 mod common;
+#[path = "common/diameter_site.rs"]
+mod diameter_site;
+
 use common::*;
+use diameter_site::*;
 use frosthatch_diameter::codec::{flag, Avp, Message};
 use frosthatch_diameter::dictionary::{code, command, result};
 use frosthatch_test_doubles::diameter::*;
 use std::io::Write;
-use std::net::SocketAddr;
-use std::path::PathBuf;
-use std::sync::atomic::{AtomicBool, AtomicU8, Ordering};
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::Arc;
 use std::thread::{self, sleep};
 use std::time::{Duration, Instant};
 
-struct Site {
-    gateway: Gateway,
-    address: SocketAddr,
-    discovery: Discovery,
-    file: PathBuf,
-}
-
-impl Drop for Site {
-    fn drop(&mut self) {
-        let _ = std::fs::remove_file(&self.file);
-    }
-}
-
-fn diameter_entry(uid: &str, server: &DiameterServer, cell: u64, state: &str) -> String {
-    let plain = endpoint_entry(uid, server.address, cell, state);
-    format!("{},\"proto\":\"diameter\"}}", plain.trim_end_matches('}'))
-}
-
-/// Returns the entries of two servers, the first in cell 0 and the second in `cell`.
-fn pair_entries(a: &DiameterServer, b: &DiameterServer, cell: u64) -> String {
-    [
-        diameter_entry("a", a, 0, "Ready"),
-        diameter_entry("b", b, cell, "Ready"),
-    ]
-    .join(",")
-}
-
 /// Starts a server of each protocol, a gateway whose one customer is on `plan`, and a Diameter client. The last
 /// value is the customer's key for HTTP requests.
 fn both_protocols(plan: &str) -> (DiameterServer, Server, Site, DiameterClient, String) {
@@ -66,52 +41,6 @@
     )
 }
 
-/// Returns Diameter's port on a loopback address of this test's own: a port that was free a moment ago could be
-/// taken by another test.
-fn own_address() -> SocketAddr {
-    static NEXT: AtomicU8 = AtomicU8::new(1);
-    let process = std::process::id();
-    let last = NEXT.fetch_add(1, Ordering::SeqCst);
-    (
-        [127, 64 + (process >> 8) as u8 % 64, process as u8, last],
-        3868,
-    )
-        .into()
-}
-
-fn start_site(list: &str, more: &str) -> Site {
-    let discovery = Discovery::new(list);
-    let address = own_address();
-    let file = write_config_file(&format!(
-        "[diameter]\nlisten = \"{address}\"\nidentity = \"gw.example.org\"\nrealm = \"example.org\"\n\
-         check_class = \"balance-check\"\ncharge_class = \"top-up\"\ntx_ms = 6000\ndefault_plan = \"lille\"\n{more}"
-    ));
-    let config = config_text(discovery.address, None, 1, "");
-    let gateway = Gateway::start_with_args(
-        &config,
-        &[
-            "--operator",
-            file.to_str().expect("the temporary path is UTF-8"),
-        ],
-    );
-    gateway.wait_ready();
-    Site {
-        gateway,
-        address,
-        discovery,
-        file,
-    }
-}
-
-/// Sends requests until one is served: the gateway's connections to its servers come up shortly after its start.
-fn until_served(client: &mut DiameterClient) {
-    let since = Instant::now();
-    while client.exchange(&event_request(2)).result_code() != Some(result::SUCCESS) {
-        assert!(since.elapsed() < TIMEOUT, "a request is served");
-        sleep(Duration::from_millis(20));
-    }
-}
-
 #[test]
 fn an_event_reaches_a_server_and_its_answer_has_the_clients_ids() {
     let server = DiameterServer::granting("s1.example.org");
@@ -288,22 +217,6 @@
     assert_eq!(server.drain_request_count(), 0);
 }
 
-/// Starts a server whose Credit-Control-Failure-Handling determines whether its sessions may move; while
-/// `silent` is set it doesn't answer updates.
-fn start_server_with_failover(
-    host: &'static str,
-    handling: u32,
-    silent: Arc<AtomicBool>,
-) -> DiameterServer {
-    DiameterServer::new(host, move |ccr| {
-        let update = ccr.u32_value(code::CC_REQUEST_TYPE) == Some(2);
-        let answer = success_answer(ccr, host)
-            .with_avp(Avp::of_u32(code::CC_SESSION_FAILOVER, 1))
-            .with_avp(Avp::of_u32(code::CREDIT_CONTROL_FAILURE_HANDLING, handling));
-        (!(update && silent.load(Ordering::SeqCst))).then_some(answer)
-    })
-}
-
 /// Credit-Control-Failure-Handling 2 is RETRY_AND_TERMINATE, 0 is TERMINATE. The second keyed server is in the
 /// first one's cell.
 #[test]
--- a/crates/http1/src/backend/outgoing.rs
+++ b/crates/http1/src/backend/outgoing.rs
@@ -22,4 +22,9 @@
         let server = server.clone();
         Box::pin(async move { upstream.attempt(&server, &request, deadline, &permit).await })
     }
+
+    fn can_cancel_attempts(&self) -> bool {
+        // A connection carries one request at a time, and a dropped attempt closes it.
+        true
+    }
 }
--- a/crates/traffic-control/src/interface/events.rs
+++ b/crates/traffic-control/src/interface/events.rs
@@ -38,10 +38,21 @@
     },
     /// A client request.
     Request(Request),
-    /// A streamed answer has begun, so the request may have no further attempt.
+    /// The request may have no further attempt, and the one in flight goes on: a streamed answer has begun, or the client
+    /// has gone and the attempt cannot be cancelled.
     Streaming(RequestId),
     /// An attempt ended.
     Outcome(AttemptOutcome),
+    /// An attempt that cannot be cancelled got no answer within its timeout. It stays in flight until its
+    /// [`Event::Outcome`].
+    Overdue {
+        /// The request.
+        request: RequestId,
+        /// Number of the attempt, from 0.
+        attempt: u32,
+        /// Time since the attempt was sent.
+        elapsed_us: Micros,
+    },
     /// The client closed its connection or gave up before the final answer.
     ClientGone(RequestId),
     /// A timer expired.
--- a/crates/traffic-control/src/pending_request.rs
+++ b/crates/traffic-control/src/pending_request.rs
@@ -22,6 +22,8 @@
     pub state: AttemptState,
     /// Whether the attempt ended before any part of it was sent.
     pub is_unsent: bool,
+    /// Whether the attempt outlasted its timeout. Its server then counts it as ended without an answer.
+    pub is_overdue: bool,
     /// Retries that the attempt took from the retry budget.
     pub retry_cost: f64,
 }
@@ -62,6 +64,13 @@
             .any(|a| a.state == AttemptState::InFlight)
     }
 
+    /// Returns whether an attempt has outlasted its timeout and has not ended.
+    pub fn has_overdue_attempt(&self) -> bool {
+        self.attempts
+            .iter()
+            .any(|a| a.is_overdue && a.state == AttemptState::InFlight)
+    }
+
     /// Returns whether an earlier attempt went to `server`.
     pub fn has_tried(&self, server: &ServerId) -> bool {
         self.attempts.iter().any(|a| a.server == *server)
--- a/crates/traffic-control/src/policy/attempts.rs
+++ b/crates/traffic-control/src/policy/attempts.rs
@@ -137,6 +137,7 @@
             sent_at: now,
             state: AttemptState::InFlight,
             is_unsent: false,
+            is_overdue: false,
             retry_cost: kind.retry_cost(),
         });
         actions.push(Action::Send {
--- a/crates/traffic-control/src/policy/effect_rule.rs
+++ b/crates/traffic-control/src/policy/effect_rule.rs
@@ -58,8 +58,12 @@
             .fold(useful_us, Micros::min)
     }
 
-    /// Whether the final answer may say that a repeat is harmless.
+    /// Whether the final answer may say that a repeat is harmless. It may not while an attempt goes on that cannot be
+    /// cancelled, whatever the class: a repeat would be a second one.
     pub(super) fn may_reject(&self, settings: &Settings) -> bool {
+        if self.has_overdue_attempt() {
+            return false;
+        }
         let repeats_are_harmless = matches!(
             settings.classes[self.class].effect,
             Effect::Repeatable
--- a/crates/traffic-control/src/policy/mod.rs
+++ b/crates/traffic-control/src/policy/mod.rs
@@ -37,6 +37,11 @@
             Event::Request(request) => self.on_request(request, actions),
             Event::Streaming(id) => self.on_streaming(id),
             Event::Outcome(outcome) => self.on_outcome(&outcome, actions),
+            Event::Overdue {
+                request,
+                attempt,
+                elapsed_us,
+            } => self.on_overdue(request, attempt, elapsed_us, actions),
             Event::ClientGone(id) => self.close_request(id, actions),
             Event::Timer(timer) => self.on_timer(timer, actions),
             Event::Peer { from, bytes } => self.on_peer_message(from, &bytes, actions),
@@ -105,6 +110,7 @@
             Timer::Request(id) if self.waiting_requests.contains(&id) => {
                 self.reject_or_fail(id, 0.0, UnservedReason::NoServer, actions);
             }
+            Timer::Request(id) if self.has_overdue_attempt(id) => self.fail_if_useless(id, actions),
             Timer::Request(id) => self.on_query_timeout(id, actions),
         }
     }
--- a/crates/traffic-control/src/status.rs
+++ b/crates/traffic-control/src/status.rs
@@ -3,7 +3,7 @@
 
 use crate::counter::MAX_SMALL_FLEET_GATEWAYS;
 use crate::gateway::Gateway;
-use crate::interface::{AttemptOutcome, HealthReports, ServerId};
+use crate::interface::{CompletionStatus, HealthReports, Micros, ServerId};
 
 impl Gateway {
     /// Returns the number of open requests, including answered ones with attempts in flight.
@@ -38,13 +38,14 @@
         self.fleet.health_reports(self.now)
     }
 
-    /// Records the end of an attempt in the latency of its class and the assessment of its server.
+    /// Records an attempt that ended or is overdue in the latency of its class and the assessment of its server.
     pub(crate) fn record_attempt_end(
         &mut self,
-        outcome: &AttemptOutcome,
+        server: &ServerId,
         class: usize,
         units: f64,
-        server: &ServerId,
+        status: CompletionStatus,
+        elapsed_us: Micros,
     ) {
         let slow_start = &self.settings.slow_start;
         let Some(server_at_end) = self.fleet.record_attempt_end(server, slow_start, self.now)
@@ -54,17 +55,12 @@
         let latency_ratio = self.server_latency.record_attempt(
             class,
             units,
-            outcome.status,
-            outcome.elapsed_us,
+            status,
+            elapsed_us,
             server_at_end.is_ready,
         ) * server_at_end.warm_capacity_share;
         let counts_for_zone = self.settings.gateways > MAX_SMALL_FLEET_GATEWAYS;
-        self.fleet.record_outcome(
-            server,
-            outcome.status,
-            latency_ratio,
-            self.now,
-            counts_for_zone,
-        );
+        self.fleet
+            .record_outcome(server, status, latency_ratio, self.now, counts_for_zone);
     }
 }
