Diameter: look for a repeat before refusing a request as not executed

Cause: Frontend::handle_request refused while draining before CreditControl looked whether the request repeats one that is open or answered. Ruled out: an evicted answer (a break without SIGTERM gets the cached one; the test's repeat of an answered request fails with a new request beside it). The same stood in two further places: requests in flight of too many bytes, and a request that crosses the gateway's DPR, which the connection's state machine refused itself. Read and left: 3005 for a loop, which is the gateway's own copy.

Change: the look comes first. handle_repeat lets a repeat join or get the cached answer and refuses all else; the front end calls it while it accepts no new requests.

--- a/crates/diameter/src/credit.rs
+++ b/crates/diameter/src/credit.rs
@@ -50,6 +50,14 @@
     Rejected(Fault),
 }
 
+/// Whether a request repeats a known one.
+enum Lookup<C> {
+    /// The request repeats a known one, or has no key: this is the action to take.
+    Known(Disposition),
+    /// The request with this key, from this client, repeats none.
+    New(RequestKey, C),
+}
+
 /// Tracks sessions, requests in flight and cached answers. `C` identifies a waiting client.
 pub struct CreditControl<C> {
     mapping: CreditControlConfig,
@@ -80,18 +88,10 @@
 
     /// Validates a Credit-Control-Request from a client, and returns the action to take for it.
     pub fn handle_ccr(&mut self, now_us: u64, ccr: &Message, client: C) -> Disposition {
-        self.duplicates.evict_expired(now_us);
-        let key = match RequestKey::read(ccr) {
-            Ok(key) => key,
-            Err(fault) => return Disposition::Rejected(fault),
+        let (key, client) = match self.find_duplicate(now_us, ccr, client) {
+            Lookup::Known(disposition) => return disposition,
+            Lookup::New(key, client) => (key, client),
         };
-        if let Some(clients) = self.duplicates.waiting_clients(&key) {
-            clients.push(client);
-            return Disposition::Joined;
-        }
-        if let Some(answer) = self.duplicates.cached_answer(&key) {
-            return Disposition::Answered(answer.clone());
-        }
         if !self.duplicates.make_room(self.mapping.max_tracked_requests) {
             return Disposition::Rejected(Fault::new(result::TOO_BUSY));
         }
@@ -104,6 +104,32 @@
         }
     }
 
+    /// Returns the action to take for a Credit-Control-Request that may only be a repeat, as no new request is accepted: a
+    /// repeat of a known request is handled as ever, since it may have been executed, and any other request is rejected.
+    pub fn handle_repeat(&mut self, now_us: u64, ccr: &Message, client: C) -> Disposition {
+        match self.find_duplicate(now_us, ccr, client) {
+            Lookup::Known(disposition) => disposition,
+            Lookup::New(..) => Disposition::Rejected(Fault::new(result::TOO_BUSY)),
+        }
+    }
+
+    /// Looks for the request in flight or the cached answer that a request repeats. The client waits for the former.
+    fn find_duplicate(&mut self, now_us: u64, ccr: &Message, client: C) -> Lookup<C> {
+        self.duplicates.evict_expired(now_us);
+        let key = match RequestKey::read(ccr) {
+            Ok(key) => key,
+            Err(fault) => return Lookup::Known(Disposition::Rejected(fault)),
+        };
+        if let Some(clients) = self.duplicates.waiting_clients(&key) {
+            clients.push(client);
+            return Lookup::Known(Disposition::Joined);
+        }
+        match self.duplicates.cached_answer(&key) {
+            Some(answer) => Lookup::Known(Disposition::Answered(answer.clone())),
+            None => Lookup::New(key, client),
+        }
+    }
+
     /// Removes disconnected clients from a request. The request stays in flight, because a duplicate may arrive on another
     /// connection (RFC 6733 section 5.5.4). Returns whether the request is in flight and no client remains.
     pub fn remove_clients(
--- a/crates/diameter/src/front.rs
+++ b/crates/diameter/src/front.rs
@@ -205,3 +205,6 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/crates/diameter/src/front/requests.rs
+++ b/crates/diameter/src/front/requests.rs
@@ -54,23 +54,20 @@
         client_host: &str,
         ccr: Message,
     ) {
-        let config = self.config();
-        let in_flight_bytes = self.in_flight.borrow().bytes();
-        if self.is_draining.get() || in_flight_bytes + ccr.memory_bytes() > config.max_request_bytes
-        {
-            return link.send_answer(&link.gateway_answer(&ccr, result::TOO_BUSY));
-        }
-        if has_loop(&ccr, &config.identity.host) {
+        // The gateway's own copy of a request, which a server has sent back, must not wait for that server's answer.
+        if has_loop(&ccr, &self.config().identity.host) {
             return link.send_answer(&link.gateway_answer(&ccr, result::LOOP_DETECTED));
         }
         let client = WaitingClient {
             client_id,
             hop_by_hop: ccr.header.hop_by_hop,
         };
-        let disposition = self
-            .credit
-            .borrow_mut()
-            .handle_ccr(self.engine.now_us(), &ccr, client);
+        let now_us = self.engine.now_us();
+        let disposition = if self.accepts_new_request(link, &ccr) {
+            self.credit.borrow_mut().handle_ccr(now_us, &ccr, client)
+        } else {
+            self.credit.borrow_mut().handle_repeat(now_us, &ccr, client)
+        };
         match disposition {
             Disposition::Joined => {}
             Disposition::Answered(mut answer) => {
@@ -82,6 +79,13 @@
         }
     }
 
+    /// Returns whether the request may be submitted if it repeats no other: the gateway is not draining, has not sent its
+    /// disconnect request, and holds no more than its limit in bytes.
+    fn accepts_new_request(&self, link: &Link, ccr: &Message) -> bool {
+        let bytes = self.in_flight.borrow().bytes() + ccr.memory_bytes();
+        !self.is_draining.get() && !link.is_closing() && bytes <= self.config().max_request_bytes
+    }
+
     /// Submits a request to the engine and completes it when the engine responds.
     fn submit(
         self: &Rc<Self>,
--- a/crates/diameter/src/link.rs
+++ b/crates/diameter/src/link.rs
@@ -93,6 +93,11 @@
         self.peer.borrow().is_open()
     }
 
+    /// Returns whether the gateway has sent its disconnect request, and accepts no new requests from the peer.
+    pub fn is_closing(&self) -> bool {
+        self.peer.borrow().is_closing()
+    }
+
     /// Assigns the next Hop-by-Hop Identifier of this connection.
     pub fn next_hop_by_hop(&self) -> u32 {
         self.peer.borrow_mut().next_hop_by_hop()
--- a/crates/diameter/src/peer.rs
+++ b/crates/diameter/src/peer.rs
@@ -176,6 +176,11 @@
         self.state == State::Open
     }
 
+    /// Returns whether the gateway has sent its disconnect request and waits for the answer.
+    pub fn is_closing(&self) -> bool {
+        self.state == State::Closing
+    }
+
     /// Returns the time at which to call [`handle_timeout`](Self::handle_timeout); `u64::MAX` for never.
     pub fn due_us(&self) -> u64 {
         if self.state == State::Open {
--- a/crates/diameter/src/peer/messages.rs
+++ b/crates/diameter/src/peer/messages.rs
@@ -107,11 +107,9 @@
     fn handle_ccr(&mut self, ccr: Message, out: &mut Vec<Output>) {
         if let Err(fault) = ccr.validate() {
             out.push(Output::Send(self.fault_answer(&ccr, &fault)));
-        } else if self.state == State::Closing {
-            // The request crossed the gateway's disconnect request. It is not executed, so the client may send it to
-            // another peer.
-            out.push(Output::Send(self.answer(&ccr, result::TOO_BUSY)));
         } else {
+            // In the state CLOSING the request crossed the gateway's disconnect request. The owner of the connection
+            // answers it, as it may repeat one that was executed.
             out.push(Output::Request(ccr));
         }
     }
--- a/crates/diameter/tests/crediting.rs
+++ b/crates/diameter/tests/crediting.rs
@@ -1,6 +1,6 @@
 //! Tests the validation of credit-control requests, sessions and duplicate detection, in virtual time.
 
-use frosthatch_diameter::codec::{flag, Avp, Header, Message};
+use frosthatch_diameter::codec::{flag, Avp, Fault, Header, Message};
 use frosthatch_diameter::credit::{
     classify_answer, forwarded_request, has_loop, AnswerClass, CreditControl, CreditControlConfig,
     CreditRequest, Disposition, RequestKey,
@@ -518,3 +518,28 @@
         )
     );
 }
+
+/// Guards against a refusal of a request that was executed, while no new request is accepted.
+#[test]
+fn a_repeat_is_recognized_while_no_new_request_is_accepted() {
+    let mut credit = CreditControl::new(mapping());
+    let answered = event_ccr(0, 1);
+    serve(&mut credit, 0, &answered, "s1");
+    let in_flight = event_ccr(0, 2);
+    let (key, _) = expect_submitted(&mut credit, 0, &in_flight);
+    let cached = credit.handle_repeat(0, &answered, 2);
+    assert!(
+        matches!(&cached, Disposition::Answered(answer) if answer.result_code() == Some(result::SUCCESS)),
+        "{cached:?}"
+    );
+    assert_eq!(credit.handle_repeat(0, &in_flight, 2), Disposition::Joined);
+    let new = credit.handle_repeat(0, &event_ccr(0, 3), 2);
+    assert_eq!(new, Disposition::Rejected(Fault::new(result::TOO_BUSY)));
+    let answer = answer(&in_flight, result::SUCCESS);
+    assert_eq!(
+        credit.complete(0, &key, &in_flight, &answer, Some("s1")),
+        [1, 2]
+    );
+    // The rejection left no trace: the request is accepted later.
+    expect_submitted(&mut credit, 0, &event_ccr(0, 3));
+}
