An attempt ends before its answer is due although the decision took long

What callers saw: one of 60 checks at a silent server answered 504 (failed) instead of 429, in one run of all tests beside builds (a_request_that_finds_all_places_taken_is_refused_before_its_deadline).

Cause: the time that remains is read from the clock before the decision, and the attempt's time limit counts from after it. When the process gets no processor in between for 6 ms or more, the attempt ends later than the answer is due, and the engine's own answer deadline fails the request, whatever its class.

Nothing costs more.

--- a/crates/engine/src/engine/attempts.rs
+++ b/crates/engine/src/engine/attempts.rs
@@ -1,5 +1,6 @@
 //! Starts and cancels the attempts of requests, and feeds their outcomes to traffic control.
 
+use super::requests::decision_deadline;
 use super::{Engine, State, EVENT_TARGET};
 use crate::attempt_permit::AttemptPermit;
 use crate::ports::{AttemptResult, Response};
@@ -58,7 +59,10 @@
             request.client.clone(),
             self.violations.clone(),
         );
-        let deadline = started_at + Duration::from_micros(limits.timeout_us);
+        // The decision may have taken long, as when the process got no processor: the attempt still ends before the answer
+        // is due, so that traffic control decides on the answer.
+        let deadline = (started_at + Duration::from_micros(limits.timeout_us))
+            .min(decision_deadline(request.client_deadline));
         let mut running = payload.attempt(&server, deadline, permit);
         let can_cancel_attempts = request.can_cancel_attempts;
         let engine = self.clone();
--- a/crates/engine/src/engine/requests.rs
+++ b/crates/engine/src/engine/requests.rs
@@ -19,6 +19,13 @@
 /// The minimum time between the final response and the moment when the client stops waiting.
 const RESPONSE_MARGIN: Duration = Duration::from_millis(6);
 
+/// Returns the time until which traffic control may act for a client that waits until `client_deadline`.
+pub(super) fn decision_deadline(client_deadline: Instant) -> Instant {
+    client_deadline
+        .checked_sub(DECISION_MARGIN)
+        .unwrap_or(client_deadline)
+}
+
 impl Engine {
     /// Accepts a request. Its final response is sent to the returned receiver before the client leaves.
     ///
@@ -64,7 +71,8 @@
             let key = TimerKey::AnswerDeadline(request.id.0);
             self.set_timer(&mut state, answer_deadline, key);
         }
-        let remaining = client_deadline.saturating_duration_since(Instant::now() + DECISION_MARGIN);
+        let remaining =
+            decision_deadline(client_deadline).saturating_duration_since(Instant::now());
         request.remaining_us = remaining.as_micros() as u64;
         debug!(
             target: EVENT_TARGET,
