Hot restart: a rejected process ends, with an exit code of its own

Cause: in the phase Joining every rejection was taken for an old process that cannot hand over, and the new process opened its own listeners. "I cannot" and "you may not" were the same message with a text.

Change: RejectionReason, the same text on the wire (golden forms unchanged). A rejection ends the process with exit code 75 before it opens a listener or joins the fleet, whose name it took from the running process before; the log line names both running processes. Another major version, and an old process that is terminating with no successor, permit an own start as before. The old process handles the end of a peer's connection before it admits the next process: that one was rejected now and then, which did not matter while it served all the same.

--- a/crates/frosthatch/src/command_line.rs
+++ b/crates/frosthatch/src/command_line.rs
@@ -2,13 +2,16 @@
 
 use crate::commands::admin_client::AdminClient;
 use crate::commands::{check, fleet, plugin, policy};
-use crate::gateway;
+use crate::gateway::{self, GatewayError};
 use clap::{Args, Parser, Subcommand};
 use frosthatch_log::log_line;
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 
+/// Exit code of a process that was not allowed to replace a running one, EX_TEMPFAIL in sysexits.h.
+const TAKEOVER_REJECTED_EXIT_CODE: u8 = 75;
+
 /// Runs a gateway that enforces customers' quotas and forwards their requests to a fleet of servers.
 ///
 /// The platform's configuration is the JSON file that the environment variable NODE_CONFIG names.
@@ -139,7 +142,7 @@
     pub fn run(self) -> ExitCode {
         let operator_file = self.operator.as_deref();
         match self.command {
-            None => exit_code(gateway::run(operator_file)),
+            None => gateway_exit_code(gateway::run(operator_file)),
             Some(Command::Check) => check::check(operator_file),
             Some(Command::Fleet { command, options }) => exit_code(command.run(&options)),
             Some(Command::Policy { command, options }) => command.run(&options, operator_file),
@@ -197,6 +200,19 @@
     }
 }
 
+/// Logs why the gateway ended, if not by SIGTERM, and returns the program's exit status.
+fn gateway_exit_code(result: Result<(), GatewayError>) -> ExitCode {
+    let code = match &result {
+        Err(GatewayError::TakeoverRejected(_)) => ExitCode::from(TAKEOVER_REJECTED_EXIT_CODE),
+        Err(GatewayError::Failed(_)) => ExitCode::FAILURE,
+        Ok(()) => ExitCode::SUCCESS,
+    };
+    if let Err(error) = result {
+        log_line!("frosthatch: {error}");
+    }
+    code
+}
+
 /// Logs the error, if there is one, and returns the program's exit status.
 fn exit_code(result: Result<(), String>) -> ExitCode {
     match result {
--- a/crates/frosthatch/src/gateway.rs
+++ b/crates/frosthatch/src/gateway.rs
@@ -17,6 +17,7 @@
 use frosthatch_discovery::Source;
 use frosthatch_engine::Engine;
 use frosthatch_handover::driver::LocalEventSender;
+use frosthatch_handover::rejection::RejectionReason;
 use frosthatch_http1::server::HttpServer;
 use frosthatch_plugins::host::Plugins;
 use std::net::SocketAddr;
@@ -31,11 +32,28 @@
 /// Interval at which this gateway announces its lifecycle phase to the other members.
 const PHASE_INTERVAL: Duration = Duration::from_millis(50);
 
+/// Why the gateway ended other than by SIGTERM.
+#[derive(Debug, thiserror::Error)]
+pub enum GatewayError {
+    /// The gateway cannot start, or could not replace a running process.
+    #[error("{0}")]
+    Failed(String),
+    /// The running process goes on serving and rejected this one.
+    #[error("upgrade: {0}; this process ends")]
+    TakeoverRejected(#[from] RejectionReason),
+}
+
+impl From<String> for GatewayError {
+    fn from(reason: String) -> Self {
+        GatewayError::Failed(reason)
+    }
+}
+
 /// Runs the gateway until SIGTERM.
 ///
 /// # Errors
 /// Returns why the gateway cannot start, or why it could not replace a running process.
-pub fn run(operator_file: Option<&Path>) -> Result<(), String> {
+pub fn run(operator_file: Option<&Path>) -> Result<(), GatewayError> {
     let platform = PlatformConfig::from_env().map_err(|errors| join_errors(&errors))?;
     let operator = OperatorConfig::read(operator_file).map_err(|errors| join_errors(&errors))?;
     let runtime = tokio::runtime::Builder::new_current_thread()
@@ -49,7 +67,7 @@
     platform: PlatformConfig,
     operator: OperatorConfig,
     operator_file: Option<&Path>,
-) -> Result<(), String> {
+) -> Result<(), GatewayError> {
     let (mut gateway, mut signals) = start::start(platform, operator).await?;
     gateway.serve(&mut signals, operator_file).await?;
     gateway.shut_down().await;
--- a/crates/frosthatch/src/gateway/start.rs
+++ b/crates/frosthatch/src/gateway/start.rs
@@ -4,7 +4,7 @@
 mod services;
 
 use super::budget::ResourceBudget;
-use super::{RunningGateway, Signals};
+use super::{GatewayError, RunningGateway, Signals};
 use crate::admin::{GatewayAdmin, ReloadCounters};
 use crate::diameter::DiameterBackend;
 use crate::hot_restart::{self, RestartHost, CLIENT_LISTENER};
@@ -38,7 +38,7 @@
 pub(super) async fn start(
     mut platform: PlatformConfig,
     operator: OperatorConfig,
-) -> Result<(RunningGateway, Signals), String> {
+) -> Result<(RunningGateway, Signals), GatewayError> {
     let prepared = PreparedParts::new(&mut platform, &operator).await?;
     let PreparedParts {
         member,
@@ -111,20 +111,21 @@
     async fn new(
         platform: &mut PlatformConfig,
         operator: &OperatorConfig,
-    ) -> Result<PreparedParts, String> {
+    ) -> Result<PreparedParts, GatewayError> {
+        let signals = Signals::new()?;
+        // A process that is rejected must not take the running one's name in the fleet, so it joins afterwards.
+        let socket_path = hot_restart::socket_path(platform, operator);
+        let inherited = match &socket_path {
+            Some(path) => handover::inherit(path).await?,
+            None => None,
+        };
         let member = match &operator.fleet {
             Some(fleet) => Some(membership::create_member(fleet, platform).await?),
             None => None,
         };
         let traffic_control = Gateway::new(platform.settings.clone(), platform.seed);
         let traffic_control = traffic_control.map_err(|error| error.to_string())?;
-        let signals = Signals::new()?;
         let budget = ResourceBudget::new(platform, operator);
-        let socket_path = hot_restart::socket_path(platform, operator);
-        let inherited = match &socket_path {
-            Some(path) => handover::inherit(path).await,
-            None => None,
-        };
         let core = Core::new(traffic_control, platform, operator, &budget, member.clone())?;
         Ok(PreparedParts {
             member,
--- a/crates/frosthatch/tests/upgrade.rs
+++ b/crates/frosthatch/tests/upgrade.rs
@@ -6,6 +6,7 @@
 use std::net::{SocketAddr, TcpStream};
 use std::os::unix::net::{UnixListener, UnixStream};
 use std::path::PathBuf;
+use std::process::ExitStatus;
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::mpsc::{channel, Receiver};
 use std::sync::Arc;
@@ -36,12 +37,7 @@
 
     /// Starts a gateway process and returns it with the lines of its log.
     fn start_process(&self, discovery: &Discovery, listen: SocketAddr) -> (Gateway, Log) {
-        let text = config_text(discovery.address, None, 1, "");
-        let text = text.replacen('{', "{\"console\":\"127.0.0.1:0\",", 1);
-        let text = text.replace(
-            "\"listen\":\"127.0.0.1:0\"",
-            &format!("\"listen\":\"{listen}\""),
-        );
+        let text = self.configuration(discovery, listen);
         let file = self.directory.join("operator.toml");
         let arguments = [
             "--operator",
@@ -63,6 +59,40 @@
         (gateway, log)
     }
 
+    /// Runs a gateway process that ends by itself, and returns its exit status and its log.
+    fn run_process(&self, discovery: &Discovery, listen: SocketAddr) -> (ExitStatus, String) {
+        let config = write_config_file(&self.configuration(discovery, listen));
+        let mut process = gateway_command(&config)
+            .arg("--operator")
+            .arg(self.directory.join("operator.toml"))
+            .spawn()
+            .expect("the gateway's binary can be executed");
+        let since = Instant::now();
+        let status = loop {
+            if let Some(status) = process.try_wait().expect("the process is ours") {
+                break status;
+            }
+            if since.elapsed() >= TIMEOUT {
+                let _ = process.kill();
+                panic!("the process ends by itself");
+            }
+            thread::sleep(Duration::from_millis(5));
+        };
+        let mut log = String::new();
+        let stderr = process.stderr.as_mut().expect("stderr is piped");
+        let _ = stderr.read_to_string(&mut log);
+        (status, log)
+    }
+
+    fn configuration(&self, discovery: &Discovery, listen: SocketAddr) -> String {
+        config_text(discovery.address, None, 1, "")
+            .replacen('{', "{\"console\":\"127.0.0.1:0\",", 1)
+            .replace(
+                "\"listen\":\"127.0.0.1:0\"",
+                &format!("\"listen\":\"{listen}\""),
+            )
+    }
+
     fn first(&self, discovery: &Discovery) -> (Gateway, Log) {
         let (gateway, log) = self.start_process(
             discovery,
@@ -407,6 +437,36 @@
     assert_eq!(new.request(&ClientRequest::check()).status(), 200);
 }
 
+/// Guards against a third process that takes its rejection for an old process that does not answer, listens beside the two
+/// that run, and sends requests to servers that operators have disabled.
+#[test]
+fn a_third_process_ends_at_once_and_the_next_upgrade_works() {
+    let (_server, discovery, installation) = start_server_and_discovery("third");
+    let (mut old, _log) = installation.first(&discovery);
+    let (mut new, new_log) = installation.start_process(&discovery, old.address);
+    new_log.wait_ready();
+    let load = Load::new(old.address);
+    let (status, third_log) = installation.run_process(&discovery, old.address);
+    assert_eq!(status.code(), Some(75), "{third_log}");
+    let names_both = format!("process {} replaces process {}", new.pid(), old.pid());
+    assert!(third_log.contains(&names_both), "{third_log}");
+    assert!(!third_log.contains("listens on"), "{third_log}");
+    load.wait_for_more_served();
+    old.terminate();
+    assert!(old.wait_for_exit().success());
+    new_log.until("the old process has ended");
+    until("the upgrade socket belongs to the new process", || {
+        UnixStream::connect(installation.socket()).is_ok()
+    });
+    let (_next, next_log) = installation.start_process(&discovery, old.address);
+    next_log.wait_ready();
+    load.wait_for_more_served();
+    new.terminate();
+    assert!(new.wait_for_exit().success());
+    load.wait_for_more_served();
+    load.stop();
+}
+
 /// Guards against a second upgrade while one runs, and against the death of one process ending the other.
 #[test]
 fn a_second_upgrade_is_refused_and_the_new_process_serves_after_the_old_one_is_killed() {
--- a/crates/handover/src/driver/inherited.rs
+++ b/crates/handover/src/driver/inherited.rs
@@ -3,6 +3,7 @@
 use super::tick::TICK_INTERVAL;
 use crate::connection::Connection;
 use crate::message::TransferredState;
+use crate::rejection::RejectionReason;
 use crate::target::{HandoverTarget, Input, Output};
 use frosthatch_log::log_line;
 use std::io;
@@ -36,8 +37,13 @@
 
 /// Connects to the old process at `path` and receives its listeners and state. Returns `None` if this process has to
 /// open its own listeners.
-pub async fn inherit(path: &Path) -> Option<Inherited> {
-    let stream = UnixStream::connect(path).await.ok()?;
+///
+/// # Errors
+/// Returns the reason if the old process goes on serving and this one has to end.
+pub async fn inherit(path: &Path) -> Result<Option<Inherited>, RejectionReason> {
+    let Ok(stream) = UnixStream::connect(path).await else {
+        return Ok(None);
+    };
     let connection = Connection::new(stream);
     let started = Instant::now();
     let mut outputs = Vec::new();
@@ -48,15 +54,17 @@
                 Output::Send(message) => drop(connection.send(&message, &[]).await),
                 Output::Log(line) => log_line!("{line}"),
                 Output::Adopt { listeners, state } => {
-                    return Some(Inherited {
-                        listeners: received_listeners(&connection, listeners)?,
+                    let listeners = received_listeners(&connection, listeners);
+                    return Ok(listeners.map(|listeners| Inherited {
+                        listeners,
                         state,
                         target,
                         connection,
                         started,
-                    });
+                    }));
                 }
-                Output::Bind => return None,
+                Output::Bind => return Ok(None),
+                Output::EndProcess(reason) => return Err(reason),
                 _ => {}
             }
         }
--- a/crates/handover/src/driver/old_process.rs
+++ b/crates/handover/src/driver/old_process.rs
@@ -4,6 +4,7 @@
 use super::tick::TICK_INTERVAL;
 use crate::connection::Connection;
 use crate::message::{Message, VERSION};
+use crate::rejection::RejectionReason;
 use crate::source::{HandoverSource, Input, Output, Phase};
 use frosthatch_log::log_line;
 use std::io;
@@ -23,6 +24,7 @@
 
 /// The connection to a new process.
 struct Peer {
+    pid: u32,
     connection: Connection,
     connected_at: Instant,
 }
@@ -83,11 +85,13 @@
         events: &mut mpsc::Receiver<LocalEvent>,
     ) -> Event {
         tokio::select! {
+            // The end of a peer that has gone is handled before the next process is admitted, which is rejected otherwise.
+            biased;
+            input = self.receive() => Event::Input(input),
             accepted = self.listener.accept() => match accepted {
                 Ok((stream, _)) => Event::Connected(stream),
                 Err(_) => Event::AcceptFailed,
             },
-            input = self.receive() => Event::Input(input),
             event = events.recv() => match event {
                 Some(LocalEvent::Terminate) => Event::Input(Input::Terminate),
                 Some(LocalEvent::Marked(mark)) => Event::Input(Input::Marked(mark)),
@@ -175,12 +179,17 @@
         if !is_same_user {
             reject(
                 stream,
-                "the connecting user is not the owner of the old process",
+                "the connecting user is not the owner of the old process".into(),
             );
         } else if self.peer.is_some() {
-            reject(stream, "another upgrade is under way");
+            let new_pid = self.peer.as_ref().map_or(0, |peer| peer.pid);
+            reject(
+                stream,
+                RejectionReason::upgrade_in_progress(std::process::id(), new_pid),
+            );
         } else {
             self.peer = Some(Peer {
+                pid: peer_pid(&stream),
                 connection: Connection::new(stream),
                 connected_at: Instant::now(),
             });
@@ -188,10 +197,15 @@
     }
 }
 
-fn reject(stream: UnixStream, reason: &str) {
-    let rejection = Message::Rejected {
-        reason: reason.into(),
-    };
+/// Returns the process id of the connecting process; 0 if it is unknown.
+fn peer_pid(stream: &UnixStream) -> u32 {
+    let credentials = stream.peer_cred().ok();
+    let pid = credentials.and_then(|credentials| credentials.pid());
+    pid.and_then(|pid| u32::try_from(pid).ok()).unwrap_or(0)
+}
+
+fn reject(stream: UnixStream, reason: RejectionReason) {
+    let rejection = Message::Rejected { reason };
     tokio::task::spawn_local(async move {
         let connection = Connection::new(stream);
         let _ = timeout(REJECTION_TIMEOUT, connection.send(&rejection, &[])).await;
--- a/crates/handover/src/message.rs
+++ b/crates/handover/src/message.rs
@@ -3,6 +3,7 @@
 //! A frame consists of the body's length and CRC-32, four big-endian bytes each, and the body in JSON. The names in
 //! the JSON are part of the protocol between versions of this program.
 
+use crate::rejection::RejectionReason;
 use serde::{Deserialize, Serialize};
 use thiserror::Error;
 
@@ -65,9 +66,9 @@
     /// Old to new: rejects or cancels the takeover.
     #[serde(rename = "Refused")]
     Rejected {
-        /// The reason for the log of the new process.
+        /// Why the new process may not take over.
         #[serde(rename = "why")]
-        reason: String,
+        reason: RejectionReason,
     },
     /// New to old: the new process is ready to accept connections.
     Ready,
--- a/crates/handover/src/source.rs
+++ b/crates/handover/src/source.rs
@@ -8,6 +8,7 @@
 //! ```
 
 use crate::message::{Mark, Message, Version, VERSION};
+use crate::rejection::RejectionReason;
 use std::time::Duration;
 
 /// Time within which the new process has to become ready; the handover is cancelled otherwise.
@@ -120,13 +121,10 @@
 
     fn handle_hello(&mut self, now: Duration, version: Version, out: &mut Vec<Output>) {
         if version.major != VERSION.major {
-            return reject(
-                "the old process has another major version of the handover protocol",
-                out,
-            );
+            return reject(RejectionReason::OtherVersion, out);
         }
         if self.is_terminating {
-            return reject("the old process is terminating", out);
+            return reject(RejectionReason::Terminating, out);
         }
         self.phase = Phase::Offered {
             deadline: now + PREPARE_TIMEOUT,
@@ -157,7 +155,7 @@
             Input::Tick if now >= deadline => {
                 // Without this message the new process would treat the end of the connection as the end of this
                 // process.
-                reject("the new process was not ready within 10 s", out);
+                reject("the new process was not ready within 10 s".into(), out);
                 out.push(Output::Log(
                     "upgrade: the new process was not ready within 10 s",
                 ));
@@ -204,11 +202,9 @@
 }
 
 /// Rejects the takeover and closes the connection.
-fn reject(reason: &str, out: &mut Vec<Output>) {
+fn reject(reason: RejectionReason, out: &mut Vec<Output>) {
     out.extend([
-        Output::Send(Message::Rejected {
-            reason: reason.into(),
-        }),
+        Output::Send(Message::Rejected { reason }),
         Output::CloseConnection,
     ]);
 }
--- a/crates/handover/src/target.rs
+++ b/crates/handover/src/target.rs
@@ -4,9 +4,12 @@
 //! Joining --Welcome--> Preparing --prepared--> AwaitingSwitch --StoppedAccepting--> Accepting
 //!    |                     |                         |                                  |
 //!    '---------------------'------ disconnect, rejection --------> Finished <-----------'
+//!
+//! A rejection ends the new process, unless the old process cannot hand over (another version, or it is terminating).
 //! ```
 
 use crate::message::{Mark, Message, TransferredState, Version, VERSION};
+use crate::rejection::RejectionReason;
 use std::time::Duration;
 
 /// Time within which the old process has to reply to [`Message::Hello`]; the new process opens its own listeners
@@ -65,7 +68,7 @@
     /// Starts accepting client connections.
     StartAccepting,
     /// Ends this process for this reason; the old process continues to serve.
-    EndProcess(String),
+    EndProcess(RejectionReason),
     /// Restores the full connection limits.
     RestoreCapacity,
     /// Applies an operator's out-of-service mark that the old process sent.
@@ -124,7 +127,10 @@
                 listeners,
                 state,
             }) => self.adopt(version, listeners, state, out),
-            Input::Received(Message::Rejected { reason }) => self.close_and_bind(&reason, out),
+            Input::Received(Message::Rejected { reason }) if reason.permits_own_start() => {
+                self.close_and_bind(&reason.to_string(), out);
+            }
+            Input::Received(Message::Rejected { reason }) => self.end_process(reason, out),
             Input::Received(_) => self.close_and_bind("the old process sent an invalid reply", out),
             Input::Tick if now >= deadline => {
                 self.close_and_bind("the old process did not reply within 1 s", out);
@@ -162,10 +168,7 @@
                 self.phase = Phase::Accepting;
                 out.push(Output::StartAccepting);
             }
-            Input::Received(Message::Rejected { reason }) => {
-                self.phase = Phase::Finished;
-                out.extend([Output::CloseConnection, Output::EndProcess(reason)]);
-            }
+            Input::Received(Message::Rejected { reason }) => self.end_process(reason, out),
             // No other process accepts connections, so this process does, even if it is not ready yet.
             Input::Disconnected => {
                 self.phase = Phase::Finished;
@@ -198,6 +201,11 @@
         out.push(Output::Send(Message::Ready));
     }
 
+    fn end_process(&mut self, reason: RejectionReason, out: &mut Vec<Output>) {
+        self.phase = Phase::Finished;
+        out.extend([Output::CloseConnection, Output::EndProcess(reason)]);
+    }
+
     fn close_and_bind(&mut self, reason: &str, out: &mut Vec<Output>) {
         out.push(Output::CloseConnection);
         self.bind(reason, out);
