SIGTERM cuts off a reload that waits for plug-ins

Cause: serve() awaits the reload inside its select, which waits up to 5 s for each plug-in, and nobody reads the SIGTERM stream meanwhile.

Change: SIGTERM ends the wait. Plugins::reload is split into load, which changes nothing, and replace; a reload applies everything after its last wait, so that one that is cut off leaves the configuration in use whole.

--- a/crates/frosthatch/src/gateway.rs
+++ b/crates/frosthatch/src/gateway.rs
@@ -132,7 +132,14 @@
                 () = exit_requested.notified() => {
                     return Err("upgrade: the running process of this gateway could not be replaced".into());
                 }
-                _ = signals.hang_up.recv() => self.reload(operator_file).await,
+                _ = signals.hang_up.recv() => {
+                    tokio::select! {
+                        biased;
+                        // A reload that waits for plug-ins is cut off, and the configuration in use stays.
+                        _ = signals.terminate.recv() => return Ok(()),
+                        () = self.reload(operator_file) => {}
+                    }
+                }
             }
         }
     }
--- a/crates/frosthatch/src/gateway/reload.rs
+++ b/crates/frosthatch/src/gateway/reload.rs
@@ -5,10 +5,12 @@
 use crate::platform_config::PlatformConfig;
 use frosthatch_config_reader::join_errors;
 use frosthatch_log::log_line;
+use frosthatch_plugins::host::LoadedPlugins;
 use std::path::Path;
 
 impl RunningGateway {
-    /// Reads and applies both files; logs any mistakes and then keeps the configuration in use.
+    /// Reads and applies both files; logs any mistakes and then keeps the configuration in use. Nothing is applied before
+    /// the last wait, so that a reload that is dropped changes nothing.
     pub(super) async fn reload(&mut self, operator_file: Option<&Path>) {
         let platform = PlatformConfig::from_env();
         let operator = OperatorConfig::read(operator_file);
@@ -25,6 +27,10 @@
 
     /// Applies valid files, except for tables whose changes require a restart.
     async fn apply(&mut self, platform: &PlatformConfig, operator: &OperatorConfig) {
+        let loaded_plugins = match &self.plugins {
+            Some(plugins) => Some(plugins.load(operator.plugins.clone()).await),
+            None => None,
+        };
         if operator.fleet != self.fleet_config {
             log_line!("fleet: a changed [fleet] or [peers] table requires a restart; the table in use is kept");
         }
@@ -44,7 +50,7 @@
             log_line!("{reason}; the configuration in use is kept");
             return;
         }
-        self.reload_plugins(operator).await;
+        self.replace_plugins(loaded_plugins, operator);
         self.discovery_source
             .send_replace(discovery_source(platform, operator));
         self.counter_address.send_replace(platform.counter);
@@ -61,9 +67,9 @@
         }
     }
 
-    async fn reload_plugins(&self, operator: &OperatorConfig) {
-        if let Some(plugins) = &self.plugins {
-            for error in plugins.reload(operator.plugins.clone()).await {
+    fn replace_plugins(&self, loaded: Option<LoadedPlugins>, operator: &OperatorConfig) {
+        if let (Some(plugins), Some(loaded)) = (&self.plugins, loaded) {
+            for error in plugins.replace(loaded) {
                 log_line!("{error}");
             }
         } else if !operator.plugins.is_empty() {
--- a/crates/frosthatch/tests/plugins.rs
+++ b/crates/frosthatch/tests/plugins.rs
@@ -384,3 +384,44 @@
         assert!(text.contains(expected), "expected {expected:?} in {text:?}");
     }
 }
+
+/// Guards against a SIGTERM that is not seen while a reload waits for a plug-in whose `init` takes too long (5 s).
+#[test]
+fn sigterm_during_a_reload_ends_the_process_and_the_configuration_in_use_stays() {
+    let adds = write_on_request_module(ADD_HEADER);
+    let never_ready = write_module(&format!(
+        r#"(func (export "init") (result i32) {LOOP_FOREVER})
+          (func (export "on_request") (param i32 i32) (result i64) unreachable)"#
+    ));
+    let mut site = start_site(&plugin_table("adds", &adds, ""));
+    let fuel = "fuel_per_call = 1000000000\nfuel_per_s = 10000000000\n";
+    std::fs::write(&site.file, plugin_table("adds", &never_ready, fuel))
+        .expect("the operator file can be replaced");
+    site.gateway.signal("-HUP");
+    // The reload has begun when the process has a further thread, in which the module is initialized.
+    let thread_count = || {
+        let tasks = std::fs::read_dir(format!("/proc/{}/task", site.gateway.pid()));
+        tasks.expect("the process runs").count()
+    };
+    let before = thread_count();
+    let since = Instant::now();
+    while thread_count() == before && since.elapsed() < Duration::from_millis(500) {
+        sleep(Duration::from_millis(2));
+    }
+    let mut client = site.gateway.client();
+    let since = Instant::now();
+    site.gateway.signal("-TERM");
+    // A request on a new connection is still answered, by the configuration in use.
+    client.send(&check_on_plan("lille").to_text());
+    let answer = client.read_response().expect("the gateway answers once");
+    assert_eq!(
+        (answer.status(), answer.header("x-shop")),
+        (200, Some("seven"))
+    );
+    assert!(site.gateway.wait_for_exit().success());
+    assert!(
+        since.elapsed() < Duration::from_secs(4),
+        "the process ends {:?} after SIGTERM, before the reload is over",
+        since.elapsed()
+    );
+}
--- a/crates/plugins/src/host.rs
+++ b/crates/plugins/src/host.rs
@@ -8,5 +8,5 @@
 mod worker;
 
 pub use config::{PluginConfig, INIT_FUEL_IN_CALLS};
-pub use plugin_set::Plugins;
+pub use plugin_set::{LoadedPlugins, Plugins};
 pub use worker::now_ms;
--- a/crates/plugins/src/host/plugin_set.rs
+++ b/crates/plugins/src/host/plugin_set.rs
@@ -26,6 +26,13 @@
     visible_input: RefCell<Rc<(Vec<String>, usize)>>,
 }
 
+/// Plug-ins that are ready to replace those in use.
+pub struct LoadedPlugins {
+    plugins: Vec<Rc<Plugin>>,
+    /// Which plug-ins could not be used, and why.
+    errors: Vec<String>,
+}
+
 impl Plugins {
     /// Starts all plug-ins. `max_units` is the maximum cost of one request; `clock` returns the monotonic time in
     /// microseconds.
@@ -43,7 +50,8 @@
             clock,
             visible_input: RefCell::default(),
         });
-        let errors = plugins.reload(configs).await;
+        let loaded = plugins.load(configs).await;
+        let errors = plugins.replace(loaded);
         if errors.is_empty() {
             Ok(plugins)
         } else {
@@ -51,10 +59,9 @@
         }
     }
 
-    /// Replaces all plug-ins. The previous version of a plug-in, if there is one, stays in use when the new version
-    /// cannot be used. Calls in flight end on the previous versions. Returns which plug-ins could not be used, and
-    /// why.
-    pub async fn reload(&self, configs: Vec<PluginConfig>) -> Vec<String> {
+    /// Loads plug-ins, at most [`LOAD_TIMEOUT`] each, and changes nothing. The previous version of a plug-in, if there is
+    /// one, is taken when the new version cannot be used.
+    pub async fn load(&self, configs: Vec<PluginConfig>) -> LoadedPlugins {
         let loading: Vec<_> = configs
             .into_iter()
             .map(|config| (worker::spawn(config.clone()), config))
@@ -83,6 +90,13 @@
                 }
             }
         }
+        LoadedPlugins { plugins, errors }
+    }
+
+    /// Replaces all plug-ins. Calls in flight end on the previous versions. Returns which plug-ins could not be used, and
+    /// why.
+    pub fn replace(&self, loaded: LoadedPlugins) -> Vec<String> {
+        let LoadedPlugins { plugins, errors } = loaded;
         *self.visible_input.borrow_mut() = Rc::new(visible_input_of(&plugins));
         *self.plugins.borrow_mut() = Rc::new(plugins);
         errors
