Diameter: a session whose INITIAL is refused takes no place

What callers saw (review): after most_sessions refused INITIALs the gateway refused all further ones until the first session expired.

Cause: only a server's answer removed a session; the gateway's own refusal, which proves that no server opened it, did not reach the table.

Change: a refused INITIAL removes its session if no server has opened it. After 5012 the session stays, as a server may have opened it.

a_session_whose_initial_request_is_rejected_takes_no_place: without the change one session is left after the first refusal; passes after.

--- a/crates/diameter/src/credit.rs
+++ b/crates/diameter/src/credit.rs
@@ -173,12 +173,15 @@
         };
         // A request answered with `TOO_BUSY` was not executed. If that answer were cached, the client's retry, which has
         // the same identifiers, would get it instead of being executed.
-        if answer.result_code() != Some(result::TOO_BUSY) {
+        let is_rejected = answer.result_code() == Some(result::TOO_BUSY);
+        if !is_rejected {
             self.duplicates
                 .cache_answer(now_us, key, answer, &self.mapping);
         }
-        if let Some(server) = server {
-            self.sessions.apply_answer(now_us, ccr, answer, server);
+        match server {
+            Some(server) => self.sessions.apply_answer(now_us, ccr, answer, server),
+            None if is_rejected => self.sessions.apply_rejection(ccr),
+            None => {}
         }
         clients
     }
--- a/crates/diameter/src/credit/sessions.rs
+++ b/crates/diameter/src/credit/sessions.rs
@@ -118,6 +118,21 @@
         }
     }
 
+    /// Removes the session that `ccr` would have opened: the gateway rejected it, and no server has it.
+    pub(super) fn apply_rejection(&mut self, ccr: &Message) {
+        let request_type = ccr.u32_value(code::CC_REQUEST_TYPE);
+        if request_type.and_then(RequestType::from_code) != Some(RequestType::Initial) {
+            return;
+        }
+        let Some(session_id) = ccr.text(code::SESSION_ID) else {
+            return;
+        };
+        let is_unopened = |session: &Session| session.server.is_none();
+        if self.sessions.get(session_id).is_some_and(is_unopened) {
+            self.sessions.remove(session_id);
+        }
+    }
+
     /// Updates a session after a successful answer. Removes the session after a failed answer if no server has opened the
     /// session yet, or if the Result-Code is `UNKNOWN_SESSION_ID`.
     fn update(&mut self, now_us: u64, session_id: &str, answer: &Message, server: &str) {
--- a/crates/diameter/tests/crediting.rs
+++ b/crates/diameter/tests/crediting.rs
@@ -543,3 +543,31 @@
     // The rejection left no trace: the request is accepted later.
     expect_submitted(&mut credit, 0, &event_ccr(0, 3));
 }
+
+/// Guards against a gateway that refuses all sessions because those that it refused keep their places.
+#[test]
+fn a_session_whose_initial_request_is_rejected_takes_no_place() {
+    let mut credit = CreditControl::new(mapping());
+    let initial = |n: u32| ccr(&format!("s{n}"), 1, 0, n).with_avp(subscription(0, "1"));
+    for n in 0..10 {
+        let (key, _) = expect_submitted(&mut credit, 0, &initial(n));
+        let rejection = answer(&initial(n), result::TOO_BUSY);
+        assert_eq!(credit.complete(0, &key, &initial(n), &rejection, None), [1]);
+        assert_eq!(credit.session_count(), 0, "after {n} rejections");
+    }
+    // A request that was rejected may be sent again and opens its session.
+    serve(&mut credit, 0, &initial(0), "s");
+    // An open session stays when one of its later requests, or its repeated first one, is rejected.
+    for request in [initial(20), ccr("s0", 2, 1, 21), ccr("s0", 1, 0, 22)] {
+        let request = request.with_avp(subscription(0, "1"));
+        let (key, _) = expect_submitted(&mut credit, 0, &request);
+        let rejection = answer(&request, result::TOO_BUSY);
+        credit.complete(0, &key, &request, &rejection, None);
+        assert_eq!(credit.session_count(), 1);
+    }
+    // Where a server may have executed the request, the session keeps its place until it expires.
+    let (key, _) = expect_submitted(&mut credit, 0, &initial(30));
+    let failure = answer(&initial(30), result::UNABLE_TO_COMPLY);
+    credit.complete(0, &key, &initial(30), &failure, None);
+    assert_eq!(credit.session_count(), 2);
+}
