Review case 6: at the site's own size, with fewer second answers

Reason: the case played one gateway and ten nodes with one answer in three sent twice; the site has two gateways, twelve nodes and about 220 requests a second. The record also lacked what clients were answered.

Done: two gateways, twelve nodes, one answer in four sent twice; cases 6 and 10 record every answer.

--- a/review/standins-2/src/bin/foreign.rs
+++ b/review/standins-2/src/bin/foreign.rs
@@ -5,14 +5,14 @@
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
 
-const SERVERS: u64 = 10;
+const SERVERS: u64 = 12;
 /// Every server of the standing half stands still for so long, in every such period.
 const STANDS_MS: f64 = 250.0;
 const PERIOD_MS: f64 = 3_000.0;
 /// A second answer follows the first after so long.
 const SECOND_AFTER_MS: u64 = 20;
 /// One answer in so many has a second copy.
-const SPOILT_EVERY: u64 = 3;
+const SPOILT_EVERY: u64 = 4;
 
 static ANSWERS: AtomicU64 = AtomicU64::new(0);
 static SECONDS: AtomicU64 = AtomicU64::new(0);
@@ -81,19 +81,26 @@
         .map(|s| agent::entry(&format!("node-{s}"), serve(s), s as u32 / 2, "Ready"))
         .collect();
     let agent = agent::Agent::start(&targets);
-    let gateway = gateway::Gateway::start(&gateway::Config::new(0, 1, agent.address), None, "n0");
-    gateway.wait_ready();
+    let gateways: Vec<_> = (0..2)
+        .map(|me| {
+            let config = gateway::Config::new(me, 2, agent.address);
+            gateway::Gateway::start(&config, None, &format!("n{me}"))
+        })
+        .collect();
+    gateways.iter().for_each(|g| g.wait_ready());
     let end = record::now_ms() + 100_000.0;
-    let clients: Vec<_> = (0..24)
+    let clients: Vec<_> = (0..46)
         .map(|c| {
-            let address = gateway.address;
+            let address = gateways[c % 2].address;
             std::thread::spawn(move || {
                 let (mut served, mut other, mut foreign, mut client) = (0, 0, 0, None);
                 while record::now_ms() < end {
                     let Some(mut open) = client.take().or_else(|| http::Client::connect(address, Duration::from_secs(3))) else { continue };
                     let trace = http::trace();
-                    let text = format!("GET /balance-check HTTP/1.1\r\nHost: b\r\nX-Trace-Id: {trace}\r\nX-Qos: balance-check\r\nX-Tier: mellem\r\nX-Api-Key: {:016x}\r\nX-Expires-In: 2.0\r\nX-Call-Terms: units=1,spread=1,first=0\r\n\r\n", 100 + c);
-                    match open.exchange(&text) {
+                    let text = format!("GET /balance-check HTTP/1.1\r\nHost: b\r\nX-Trace-Id: {trace}\r\nX-Qos: balance-check\r\nX-Tier: ekstra-stor\r\nX-Api-Key: {:016x}\r\nX-Expires-In: 2.0\r\nX-Call-Terms: units=1,spread=2,first=0\r\n\r\n", 100 + c);
+                    let answer = open.exchange(&text);
+                    record::note(&format!("client {trace}: {:?}", answer.as_ref().map(|a| a.status)));
+                    match answer {
                         Some(answer) => {
                             if answer.status != 200 {
                                 other += 1;
--- a/review/standins-2/src/bin/push.rs
+++ b/review/standins-2/src/bin/push.rs
@@ -41,7 +41,9 @@
                     let Some(mut open) = client.take().or_else(|| http::Client::connect(address, Duration::from_secs(3))) else { continue };
                     let trace = http::trace();
                     let text = format!("GET /balance-check HTTP/1.1\r\nHost: b\r\nX-Trace-Id: {trace}\r\nX-Qos: balance-check\r\nX-Tier: mellem\r\nX-Api-Key: {:016x}\r\nX-Expires-In: 2.0\r\nX-Call-Terms: units=1,spread=1,first=0\r\n\r\n", 100 + c);
-                    match open.exchange(&text) {
+                    let answer = open.exchange(&text);
+                    record::note(&format!("client {trace}: {:?}", answer.as_ref().map(|a| a.status)));
+                    match answer {
                         Some(answer) => {
                             if answer.status == 200 { served += 1 } else { other += 1 }
                             client = Some(open);
