--- a/review/standins-2/src/lib.rs
+++ b/review/standins-2/src/lib.rs
@@ -3,7 +3,6 @@
 pub mod agent;
 pub mod counter;
 pub mod diameter;
-pub mod dns;
 pub mod gateway;
 pub mod http;
 pub mod record;
