--- a/review/standins-2/src/record.rs
+++ b/review/standins-2/src/record.rs
@@ -11,7 +11,8 @@
 static CHILDREN: Mutex<Vec<u32>> = Mutex::new(Vec::new());
 static FOLDER: OnceLock<PathBuf> = OnceLock::new();
 
-/// Opens the record that `RECORD` names, and ends the case with 2 if it is not done within `limit`.
+/// Opens the record that `RECORD` names, and ends the case with 2 if it is not done within `limit` or the file
+/// that `STOP` names appears.
 pub fn begin(limit: Duration) {
     START.set(Instant::now()).expect("a case begins once");
     let path = std::env::var("RECORD").unwrap_or_else(|_| "record.txt".into());
@@ -21,7 +22,14 @@
     std::fs::create_dir_all(&folder).expect("the temporary folder can be written");
     FOLDER.set(folder).expect("a case begins once");
     std::thread::spawn(move || {
-        std::thread::sleep(limit);
+        let end = Instant::now() + limit;
+        let stop = std::env::var("STOP").unwrap_or_default();
+        while Instant::now() < end {
+            if !stop.is_empty() && std::path::Path::new(&stop).exists() {
+                finish(2, "the case was told to end");
+            }
+            std::thread::sleep(Duration::from_millis(100));
+        }
         finish(2, "the case did not end in time");
     });
 }
