--- a/review/standins-2/src/bin/ceiling.rs
+++ b/review/standins-2/src/bin/ceiling.rs
@@ -1,5 +1,6 @@
 //! A customer with a ceiling, whose key is written in more than one way.
 use review_standins_2::*;
+use std::collections::HashSet;
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
@@ -11,20 +12,22 @@
 fn main() {
     record::begin(Duration::from_secs(100));
     let arrivals: Arc<Mutex<Vec<(f64, f64)>>> = Arc::default();
+    let begun: Arc<Mutex<HashSet<String>>> = Arc::default();
     let mut targets = Vec::new();
     for s in 0..8 {
-        let arrivals = arrivals.clone();
+        let (arrivals, begun) = (arrivals.clone(), begun.clone());
         let address = http::serve(move |r| {
             let units: f64 = r
                 .body
                 .strip_prefix("units=")
                 .and_then(|u| u.parse().ok())
                 .unwrap_or(0.0);
-            arrivals.lock().unwrap().push((record::now_ms(), units));
-            record::note(&format!(
-                "s{s} runs {} units {units}",
-                r.header("x-trace-id")
-            ));
+            let trace = r.header("x-trace-id");
+            // The first attempt of a request takes its units from the ceiling, no further one does.
+            if begun.lock().unwrap().insert(trace.to_string()) {
+                arrivals.lock().unwrap().push((record::now_ms(), units));
+            }
+            record::note(&format!("s{s} runs {trace} units {units}"));
             http::Reply::Ok(10, "done".into())
         });
         targets.push(agent::entry(&format!("s-{s}"), address, s / 2, "Ready"));
@@ -76,7 +79,7 @@
                         }
                         None => refused += 1,
                     }
-                    record::sleep_ms(60);
+                    record::sleep_ms(550);
                 }
                 (served, refused)
             })
