SIGTERM finishes the long answers that servers still give

Cause: shut_down had one end for all, the time by which the last request is due (0.5 s, the longest deadline, 0.1 s). A begun answer has no deadline; it was abandoned and the process exited. Ruled out by the record: the relay itself (no pause, no write limit; all six end in the same 2 ms, with the exit).

Change: at that time the process stops taking requests: it closes its HTTP and Diameter listeners, rejects what still arrives on open connections, disconnects its peers and leaves the fleet, as before the earliest SIGKILL as until now. Then it stays until the last answer ends, which a stall of 10 s ends as in service. The listener is owned by the accept task alone, so that it closes with it; the member's task ends after the leave, as a process of the same name may start. The old process of an upgrade goes by the same; a further upgrade is refused until it ends.

Tests, seen failing on: long_answers_arrive_whole_after_sigterm, a_request_behind_a_long_answer_is_refused_once_all_others_are_answered, diameter_peers_are_disconnected_while_a_long_answer_goes_on (260,000 of 600,000 bytes), the_old_process_finishes_its_long_answers (740,000 of 1,200,000). The guard a_stalled_long_answer_ends_with_its_time_limit passes on both.

--- a/crates/frosthatch/src/diameter.rs
+++ b/crates/frosthatch/src/diameter.rs
@@ -249,6 +249,11 @@
 }
 
 impl DiameterService {
+    /// Closes the listener. Connections stay open.
+    pub fn stop_accepting(&self) {
+        self.accept_task.abort();
+    }
+
     /// Applies a changed `[diameter]` table.
     ///
     /// # Errors
--- a/crates/frosthatch/src/gateway.rs
+++ b/crates/frosthatch/src/gateway.rs
@@ -26,7 +26,7 @@
 use std::time::Duration;
 use tokio::signal::unix::{signal, Signal, SignalKind};
 use tokio::sync::{watch, Notify};
-use tokio::task::LocalSet;
+use tokio::task::{AbortHandle, LocalSet};
 use tokio::time::{interval, MissedTickBehavior};
 
 /// Interval at which this gateway announces its lifecycle phase to the other members.
@@ -96,7 +96,11 @@
 struct RunningGateway {
     engine: Rc<Engine>,
     http_server: Rc<HttpServer>,
+    /// The task that accepts HTTP clients; aborting it closes the listener.
+    accept_task: AbortHandle,
     member: Option<Rc<MembershipHandle>>,
+    /// The task of `member`; aborting it ends all communication with the other members.
+    member_task: Option<AbortHandle>,
     plugins: Option<Rc<Plugins>>,
     policy: Option<Rc<PolicyService>>,
     diameter: Option<DiameterService>,
--- a/crates/frosthatch/src/gateway/shutdown.rs
+++ b/crates/frosthatch/src/gateway/shutdown.rs
@@ -1,4 +1,11 @@
 //! Handles SIGTERM: a graceful shutdown that finishes every request received.
+//!
+//! ```text
+//! SIGTERM --late connections--> requests --respond_by + write--> peers --> responses --last one ends--> exit
+//! ```
+//!
+//! Requests have a deadline; a response that a server is still sending has none. What has to be done before the platform
+//! may send SIGKILL is therefore done before the last responses are waited for.
 
 use super::RunningGateway;
 use frosthatch_cluster_membership::LifecyclePhase;
@@ -21,11 +28,12 @@
 /// Interval between two polls for open connections and requests in flight.
 const POLL_INTERVAL: Duration = Duration::from_millis(10);
 /// Time for Diameter peers to answer a disconnect and for the other members to receive the leave. Requests are
-/// finished or abandoned before, so a SIGKILL in this period loses at most these messages.
+/// answered or abandoned before, so a SIGKILL in this period loses at most these messages and the rest of long responses.
 const DISCONNECT_PERIOD: Duration = Duration::from_millis(100);
 
 impl RunningGateway {
-    /// Finishes the requests in flight and leaves the cluster; returns when the process can exit.
+    /// Finishes the requests in flight, leaves the cluster, and finishes the responses that are still being sent; returns
+    /// when the process can exit.
     pub(super) async fn shut_down(self) {
         let longest_deadline = self.longest_deadline.min(MAX_DEADLINE);
         let respond_by =
@@ -33,10 +41,11 @@
         let end_by = respond_by + LAST_WRITE_PERIOD;
         self.announce_shutdown(respond_by);
         self.wait_for_late_requests(end_by).await;
-        // Requests that are unfinished at `end_by` are abandoned.
+        // Requests that are unanswered at `end_by` are abandoned.
         let _ = timeout_at(end_by, self.finish_requests()).await;
-        self.engine.record_unanswered_requests();
+        self.stop_taking_requests();
         self.disconnect_peers().await;
+        self.finish_responses().await;
     }
 
     /// Announces the shutdown to clients, the other members and the other process of a hot restart.
@@ -87,15 +96,34 @@
             || diameter.is_some_and(|service| service.frontend.in_flight_count() > 0)
     }
 
+    /// Closes the listeners and rejects requests that arrive on open connections from now on.
+    fn stop_taking_requests(&self) {
+        self.accept_task.abort();
+        self.http_server.stop_taking_requests();
+        if let Some(diameter) = &self.diameter {
+            diameter.stop_accepting();
+        }
+        self.engine.record_unanswered_requests();
+    }
+
+    /// Returns when all responses have been sent. Each ends with its last byte, when its client disconnects, or when its
+    /// server or its client stalls it for too long.
+    async fn finish_responses(&self) {
+        while self.http_server.open_connections() > 0 {
+            self.http_server.close_for_shutdown();
+            sleep(POLL_INTERVAL).await;
+        }
+    }
+
     /// Disconnects Diameter peers and leaves the cluster.
-    async fn disconnect_peers(self) {
+    async fn disconnect_peers(&self) {
         let has_peers = self.diameter.is_some() || self.member.is_some();
-        if let Some(diameter) = self.diameter {
+        if let Some(diameter) = &self.diameter {
             // Nothing is in flight: clients and servers are sent the reason of the disconnect (RFC 6733 section 5.4).
             diameter.frontend.disconnect_clients();
             diameter.servers.disconnect_all();
         }
-        if let Some(member) = self.member {
+        if let Some(member) = &self.member {
             // This gateway admits nothing more, so the other members may use its share of the quotas. The leave is
             // sent again with each tick, as datagrams may be lost.
             member.leave();
@@ -103,5 +131,9 @@
         if has_peers {
             sleep(DISCONNECT_PERIOD).await;
         }
+        // A process that is started under the same name has to be the only one that speaks for it.
+        if let Some(member_task) = &self.member_task {
+            member_task.abort();
+        }
     }
 }
--- a/crates/frosthatch/src/gateway/start.rs
+++ b/crates/frosthatch/src/gateway/start.rs
@@ -61,10 +61,12 @@
     );
     // A process that replaces another accepts connections only once it is ready; until then the old process serves.
     http_server.set_accepting(inherited.is_none());
-    spawn_local(http_server.clone().accept(listener.clone()));
+    // The task owns the listener, so that the listener closes with it.
+    let shared_listener = Rc::downgrade(&listener);
+    let accept_task = spawn_local(http_server.clone().accept(listener)).abort_handle();
     let exit_requested = Rc::new(Notify::new());
     let host = RestartHost {
-        listener,
+        listener: shared_listener,
         http_server: http_server.clone(),
         upstream,
         endpoints: services.endpoints.clone(),
@@ -76,7 +78,9 @@
     let gateway = RunningGateway {
         engine,
         http_server,
+        accept_task,
         member,
+        member_task: services.member_task,
         plugins: services.plugins,
         policy: services.policy,
         diameter: services.diameter,
--- a/crates/frosthatch/src/gateway/start/services.rs
+++ b/crates/frosthatch/src/gateway/start/services.rs
@@ -18,10 +18,11 @@
 use std::rc::Rc;
 use tokio::net::TcpListener;
 use tokio::sync::{mpsc, watch};
-use tokio::task::spawn_local;
+use tokio::task::{spawn_local, AbortHandle};
 
 /// The handles of the parts that work with the engine.
 pub(super) struct Services {
+    pub(super) member_task: Option<AbortHandle>,
     pub(super) diameter: Option<DiameterService>,
     pub(super) endpoints: Rc<EndpointRegistry>,
     pub(super) discovery_source: watch::Sender<Source>,
@@ -46,13 +47,14 @@
         let diameter = start_diameter(core.diameter, operator, platform, &engine).await?;
         log_line!("{} listens on {address}", platform.name);
         spawn_local(engine.clone().run_timers());
-        spawn_membership(member, operator, &engine);
+        let member_task = spawn_membership(member, operator, &engine);
         spawn_local(backend::close_stale_connections(core.upstream));
         let (endpoints, discovery_source) = spawn_discovery(platform, operator, &engine);
         let counter_address = spawn_counter(platform, core.counter_calls, &engine);
         let plugins = start_plugins(operator, platform, &core.clock).await?;
         let policy = start_policy(operator, platform, member, &engine)?;
         Ok(Services {
+            member_task,
             diameter,
             endpoints,
             discovery_source,
@@ -81,18 +83,20 @@
     Ok(Some(service.await?))
 }
 
+/// Starts the member, if there is one. Returns the handle of its task.
 fn spawn_membership(
     member: Option<&Rc<MembershipHandle>>,
     operator: &OperatorConfig,
     engine: &Rc<Engine>,
-) {
+) -> Option<AbortHandle> {
     let (Some(member), Some(fleet)) = (member, &operator.fleet) else {
-        return;
+        return None;
     };
-    spawn_local(member.clone().run(fleet.gossip_interval, engine.clone()));
+    let member_task = spawn_local(member.clone().run(fleet.gossip_interval, engine.clone()));
     if fleet.shares_server_choices {
         spawn_local(outlier_gossip::run(member.clone(), engine.clone()));
     }
+    Some(member_task.abort_handle())
 }
 
 fn spawn_discovery(
--- a/crates/frosthatch/src/hot_restart.rs
+++ b/crates/frosthatch/src/hot_restart.rs
@@ -11,7 +11,7 @@
 use frosthatch_http1::server::HttpServer;
 use std::os::fd::{AsFd, OwnedFd};
 use std::path::PathBuf;
-use std::rc::Rc;
+use std::rc::{Rc, Weak};
 use std::time::Duration;
 use tokio::net::TcpListener;
 use tokio::sync::Notify;
@@ -44,8 +44,8 @@
 
 /// The parts of the gateway that a hot restart reads and controls.
 pub struct RestartHost {
-    /// The HTTP clients' listener.
-    pub listener: Rc<TcpListener>,
+    /// The HTTP clients' listener; closed once this process takes no more requests.
+    pub listener: Weak<TcpListener>,
     /// The HTTP server that clients connect to.
     pub http_server: Rc<HttpServer>,
     /// The HTTP connections to servers.
@@ -62,7 +62,8 @@
 
 impl Host for RestartHost {
     fn listeners(&self) -> Vec<(String, OwnedFd)> {
-        let duplicate = self.listener.as_fd().try_clone_to_owned();
+        let listener = self.listener.upgrade();
+        let duplicate = listener.and_then(|open| open.as_fd().try_clone_to_owned().ok());
         duplicate
             .map(|fd| (CLIENT_LISTENER.to_string(), fd))
             .into_iter()
--- a/crates/frosthatch/tests/common/diameter_site.rs
+++ b/crates/frosthatch/tests/common/diameter_site.rs
@@ -55,27 +55,37 @@
 
 /// Starts a gateway with the servers of `list`; `more` continues the table `[diameter]`.
 pub fn start_site(list: &str, more: &str) -> Site {
-    start_site_with_log(list, more, |line| println!("gateway: {line}"))
+    start_site_with_config(list, more, str::to_string)
+}
+
+/// Starts a gateway like [`start_site`], with a boot configuration that `change` may change.
+pub fn start_site_with_config(list: &str, more: &str, change: fn(&str) -> String) -> Site {
+    start_site_with_log(list, more, change, |line| println!("gateway: {line}"))
 }
 
 /// Starts a gateway like [`start_site`], and returns the receiver of all that it logs, events included.
 pub fn start_site_with_events(list: &str, more: &str) -> (Site, Receiver<String>) {
     let (sender, lines) = channel();
-    let site = start_site_with_log(list, more, move |line| {
+    let site = start_site_with_log(list, more, str::to_string, move |line| {
         println!("gateway: {line}");
         let _ = sender.send(line.into());
     });
     (site, lines)
 }
 
-fn start_site_with_log(list: &str, more: &str, log: impl Fn(&str) + Send + 'static) -> Site {
+fn start_site_with_log(
+    list: &str,
+    more: &str,
+    change: fn(&str) -> String,
+    log: impl Fn(&str) + Send + 'static,
+) -> Site {
     let discovery = Discovery::new(list);
     let address = own_address();
     let file = write_config_file(&format!(
         "[diameter]\nlisten = \"{address}\"\nidentity = \"gw.example.org\"\nrealm = \"example.org\"\n\
          check_class = \"balance-check\"\ncharge_class = \"top-up\"\ntx_ms = 6000\ndefault_plan = \"lille\"\n{more}"
     ));
-    let config = config_text(discovery.address, None, 1, "");
+    let config = change(&config_text(discovery.address, None, 1, ""));
     let path = file.to_str().expect("the temporary path is UTF-8");
     let enable_events = |command: &mut std::process::Command| {
         command.env("FROSTHATCH_LOG", "debug");
--- a/crates/frosthatch/tests/upgrade.rs
+++ b/crates/frosthatch/tests/upgrade.rs
@@ -309,6 +309,36 @@
     assert_eq!(top_ups, 0, "the held top-up is sent to the server once");
 }
 
+/// Guards against an old process that ends in the middle of a long answer: it lasts longer than any request.
+#[test]
+fn the_old_process_finishes_its_long_answers() {
+    let answer = LongAnswer {
+        pause: Duration::from_millis(100),
+        ..LongAnswer::new(AnswerFraming::Length, 60, 20_000)
+    };
+    let server = Server::new(move |_| Reply::Long(answer));
+    let discovery = Discovery::new(&endpoint_entry("a", server.address, 0, "Ready"));
+    let installation = UpgradeDirectory::new("long");
+    let (mut old, _log) = installation.first(&discovery);
+    let mut stream = TcpStream::connect(old.address).expect("the old process accepts");
+    stream.set_read_timeout(Some(TIMEOUT)).expect("timeout > 0");
+    let request = ClientRequest::check().with_header("Connection", "close");
+    stream
+        .write_all(request.to_text().as_bytes())
+        .expect("the connection is open");
+    server.next_request();
+    let (_new, log) = installation.start_process(&discovery, old.address);
+    log.wait_ready();
+    old.terminate();
+    let mut bytes = Vec::new();
+    stream
+        .read_to_end(&mut bytes)
+        .expect("the connection ends without a reset");
+    let body_bytes = bytes.iter().filter(|byte| **byte == BODY_BYTE).count();
+    assert_eq!(body_bytes, answer.body_bytes());
+    assert!(old.wait_for_exit().success());
+}
+
 /// Guards against either process using a server that an operator has disabled.
 #[test]
 fn disabled_servers_are_disabled_in_both_processes() {
--- a/crates/http1/src/server/conversation.rs
+++ b/crates/http1/src/server/conversation.rs
@@ -10,8 +10,9 @@
 use std::time::Duration;
 use tracing::debug;
 
-/// Time after which a client may retry a request that was rejected because too many connections are busy.
-const OVER_CAPACITY_RETRY_AFTER: Duration = Duration::from_millis(500);
+/// Time after which a client may retry a request that was rejected because too many connections are busy or the gateway
+/// takes no more requests.
+const REJECTION_RETRY_AFTER: Duration = Duration::from_millis(500);
 
 impl HttpServer {
     /// Serves requests until the connection is to be closed. Returns whether to close it gracefully; otherwise the last
@@ -32,8 +33,8 @@
                 RequestTarget::Server(request) => {
                     let id = request.request.id.0;
                     debug!(connection = client.number, request = id, "request.read");
-                    if is_over_capacity {
-                        Ok(Some(self.reject_at_capacity(request.forwarded.class_index)))
+                    if is_over_capacity || !self.takes_requests.get() {
+                        Ok(Some(self.reject_unsubmitted(request.forwarded.class_index)))
                     } else {
                         self.reply_to(client, *request).await
                     }
@@ -65,10 +66,10 @@
         }
     }
 
-    /// Builds, and counts, the rejection of a request because too many connections are busy.
-    fn reject_at_capacity(&self, class_index: usize) -> Reply {
+    /// Builds, and counts, the rejection of a request that is not submitted to the engine.
+    fn reject_unsubmitted(&self, class_index: usize) -> Reply {
         let response = Response::Rejected {
-            retry_after: OVER_CAPACITY_RETRY_AFTER,
+            retry_after: REJECTION_RETRY_AFTER,
         };
         self.count_response(class_index, &response);
         Reply::Response {
--- a/crates/http1/src/server/draining.rs
+++ b/crates/http1/src/server/draining.rs
@@ -5,6 +5,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::time::{sleep, Instant};
+use tracing::debug;
 
 /// Minimum waiting time of a connection that has carried a request before it may be closed to make room for a new one.
 /// If the client sends a request while the gateway closes the connection, the client retries the request, while a
@@ -41,6 +42,16 @@
         self.engine.answer_all_by(respond_by);
     }
 
+    /// Rejects all further requests and closes the connections that wait for one. Responses that are being sent go on.
+    pub fn stop_taking_requests(&self) {
+        debug!(
+            connections = self.open_connections(),
+            "server.takes_no_requests"
+        );
+        self.takes_requests.set(false);
+        self.shutdown_request_deadline.set(Some(Instant::now()));
+    }
+
     /// Begins to drain: the gateway reports that it is not ready, each response closes its connection, and idle
     /// connections are closed after [`DRAIN_DELAY`], at first only those idle for [`MIN_IDLE_TO_CLOSE`].
     pub fn drain(self: &Rc<Self>) {
--- a/crates/http1/src/server/http_server.rs
+++ b/crates/http1/src/server/http_server.rs
@@ -25,6 +25,8 @@
     pub(super) plugins: Option<Rc<dyn RequestPlugins>>,
     /// Time from which on incomplete requests are rejected; set when the process begins to shut down.
     pub(super) shutdown_request_deadline: Cell<Option<Instant>>,
+    /// Whether requests are answered by the engine; otherwise they are rejected at once.
+    pub(super) takes_requests: Cell<bool>,
     /// Time at which the gateway began to drain; `None` if it is not draining.
     pub(super) draining_since: Cell<Option<Instant>>,
     /// Connections whose next request has not been completely received, by connection number.
@@ -54,6 +56,7 @@
             settings,
             plugins,
             shutdown_request_deadline: Cell::new(None),
+            takes_requests: Cell::new(true),
             draining_since: Cell::new(None),
             waiting_connections: RefCell::default(),
             open_connections: Cell::new(0),
--- a/crates/test-doubles/src/http.rs
+++ b/crates/test-doubles/src/http.rs
@@ -1,5 +1,6 @@
 //! HTTP/1.1 servers whose answers a test specifies, and the message reader that servers and clients share.
 
+use crate::long_answer::LongAnswer;
 use socket2::{Domain, SockRef, Socket, Type};
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
@@ -97,6 +98,8 @@
     BytesThenClose(String),
     /// Sends these bytes and, 30 ms later, resets the connection.
     BytesThenReset(String),
+    /// Sends a long answer, and closes the connection if that ends it.
+    Long(LongAnswer),
     /// Closes the connection.
     Close,
     /// Sends nothing until the gateway closes the connection.
@@ -312,6 +315,11 @@
                 let _ = SockRef::from(&write).set_linger(Some(Duration::ZERO));
                 return;
             }
+            Reply::Long(answer) => {
+                if !matches!(answer.write_to(&mut write), Ok(true)) {
+                    return;
+                }
+            }
             Reply::Close => return,
             Reply::Silence => {
                 let _ = read.read(&mut [0]);
