Diameter: nothing is begun for a request whose client has gone

Cause: cancel_requests_of let a charge go on whole so that its repeat would find it. What must go on is the attempt that a server has; new attempts were not told apart from it. A charge that waited for the counter, or in a write queue, began its first attempt as well. Ruled out by the record: a late close (the gateway's event for it comes at 20 ms).

Change: a request that no server has is cancelled, of either class. One that a server may have is suspended: its attempt goes on, its permit denies what is not written, and the effect rule allows no further one; a repeat resumes it. If nothing ran, it ends as refused and its repeat is decided anew; if it may have run, it is held for the repeat until its deadline. Event::Streaming means streaming again only. A client's end of a request that had no client before changes nothing (remove_clients said so for each).

HoldingServer moved to tests/common, unchanged but for answer_with.

--- a/crates/diameter/src/credit.rs
+++ b/crates/diameter/src/credit.rs
@@ -42,8 +42,8 @@
 pub enum Disposition {
     /// Submit the request to the engine and pass its answer to [`CreditControl::complete`].
     Submit(RequestKey, CreditRequest),
-    /// Do nothing: the request duplicates one in flight, and its client gets the same answer.
-    Joined,
+    /// Send nothing: the request duplicates the one in flight with this key, and its client gets the same answer.
+    Joined(RequestKey),
     /// Send this cached answer: the request duplicates one that was answered.
     Answered(Message),
     /// Answer the request with this fault.
@@ -122,7 +122,7 @@
         };
         if let Some(clients) = self.duplicates.waiting_clients(&key) {
             clients.push(client);
-            return Lookup::Known(Disposition::Joined);
+            return Lookup::Known(Disposition::Joined(key));
         }
         match self.duplicates.cached_answer(&key) {
             Some(answer) => Lookup::Known(Disposition::Answered(answer.clone())),
@@ -131,7 +131,7 @@
     }
 
     /// Removes disconnected clients from a request. The request stays in flight, because a duplicate may arrive on another
-    /// connection (RFC 6733 section 5.5.4). Returns whether the request is in flight and no client remains.
+    /// connection (RFC 6733 section 5.5.4). Returns whether the last client was removed.
     pub fn remove_clients(
         &mut self,
         key: &RequestKey,
@@ -140,12 +140,13 @@
         let Some(clients) = self.duplicates.waiting_clients(key) else {
             return false;
         };
+        let waiting = clients.len();
         clients.retain(|client| !is_disconnected(client));
-        clients.is_empty()
+        clients.len() < waiting && clients.is_empty()
     }
 
-    /// Removes disconnected clients from a request, and the request itself if no client remains. Returns whether the
-    /// request was removed.
+    /// Removes disconnected clients from a request, and the request itself if that removes the last client. Returns whether
+    /// the request was removed.
     pub fn cancel_for_clients(
         &mut self,
         key: &RequestKey,
--- a/crates/diameter/src/front.rs
+++ b/crates/diameter/src/front.rs
@@ -177,22 +177,22 @@
         self.cancel_requests_of(client_id);
     }
 
-    /// Removes the client from the requests that it waits for, and cancels those requests that no other client waits for,
-    /// that are not charges and that no server has.
+    /// Removes the client from the requests that it waits for. Of the requests that no other client waits for, cancels
+    /// those that no server has, and suspends the others.
     fn cancel_requests_of(&self, client_id: u64) {
         let is_disconnected = |client: &WaitingClient| client.client_id == client_id;
         let in_flight = self.in_flight.borrow().snapshot();
         for (id, request) in in_flight {
-            if request.is_charge || request.history.may_have_executed() {
+            if request.history.may_have_executed() {
                 // If the request were cancelled, the client's retry would be sent while a server still has the first
-                // copy, and a charge could be executed twice. The request therefore continues, and the retry gets its
-                // answer.
+                // copy, and a charge could be executed twice. The request therefore stays open, and the retry gets its
+                // answer. Nothing is begun for it while no client waits.
                 let has_no_clients = self
                     .credit
                     .borrow_mut()
                     .remove_clients(&request.key, is_disconnected);
-                if has_no_clients && !request.is_charge {
-                    self.engine.deny_further_attempts(id);
+                if has_no_clients {
+                    self.engine.suspend(id);
                 }
             } else if self
                 .credit
--- a/crates/diameter/src/front/in_flight.rs
+++ b/crates/diameter/src/front/in_flight.rs
@@ -3,15 +3,13 @@
 use crate::credit::RequestKey;
 use crate::servers::AttemptHistory;
 use frosthatch_traffic_control::RequestId;
-use std::collections::HashMap;
+use std::collections::{BTreeMap, HashMap};
 use std::rc::Rc;
 
 /// A request in flight.
 #[derive(Clone)]
 pub(super) struct InFlightRequest {
     pub(super) key: RequestKey,
-    /// Whether the request is of the `charge_class`, so that only `key` makes a repetition safe.
-    pub(super) is_charge: bool,
     /// Approximate memory use of the request's AVPs.
     pub(super) bytes: usize,
     /// What the request's attempts have come to.
@@ -22,6 +20,7 @@
 #[derive(Default)]
 pub(super) struct InFlightRequests {
     requests: HashMap<RequestId, InFlightRequest>,
+    ids: BTreeMap<RequestKey, RequestId>,
     bytes: usize,
 }
 
@@ -38,15 +37,22 @@
 
     pub(super) fn insert(&mut self, id: RequestId, request: InFlightRequest) {
         self.bytes += request.bytes;
+        self.ids.insert(request.key.clone(), id);
         self.requests.insert(id, request);
     }
 
     pub(super) fn remove(&mut self, id: RequestId) {
         if let Some(request) = self.requests.remove(&id) {
             self.bytes -= request.bytes;
+            self.ids.remove(&request.key);
         }
     }
 
+    /// Returns the id of the request with this key.
+    pub(super) fn id_of(&self, key: &RequestKey) -> Option<RequestId> {
+        self.ids.get(key).copied()
+    }
+
     /// Returns a copy of all requests, so that requests can be removed while iterating over the copy.
     pub(super) fn snapshot(&self) -> Vec<(RequestId, InFlightRequest)> {
         self.requests
--- a/crates/diameter/src/front/requests.rs
+++ b/crates/diameter/src/front/requests.rs
@@ -69,7 +69,12 @@
             self.credit.borrow_mut().handle_repeat(now_us, &ccr, client)
         };
         match disposition {
-            Disposition::Joined => {}
+            Disposition::Joined(key) => {
+                let id = self.in_flight.borrow().id_of(&key);
+                if let Some(id) = id {
+                    self.engine.resume(id);
+                }
+            }
             Disposition::Answered(mut answer) => {
                 answer.header.hop_by_hop = ccr.header.hop_by_hop;
                 link.send_answer(&answer);
@@ -115,7 +120,6 @@
         };
         let in_flight = InFlightRequest {
             key: submission.key.clone(),
-            is_charge: credit_request.class == self.config().mapping.charge_class,
             bytes: submission.ccr.memory_bytes(),
             history: submission.history.clone(),
         };
--- a/crates/diameter/tests/crediting.rs
+++ b/crates/diameter/tests/crediting.rs
@@ -381,7 +381,8 @@
     let mut duplicate = ccr.clone();
     duplicate.header.flags |= flag::RETRANSMITTED;
     duplicate.header.hop_by_hop = 99;
-    assert_eq!(credit.handle_ccr(1, &duplicate, 2), Disposition::Joined);
+    let joined = Disposition::Joined(key.clone());
+    assert_eq!(credit.handle_ccr(1, &duplicate, 2), joined);
     let success = answer(&ccr, result::SUCCESS);
     assert_eq!(
         credit.complete(2, &key, &ccr, &success, Some("s")),
@@ -532,7 +533,8 @@
         matches!(&cached, Disposition::Answered(answer) if answer.result_code() == Some(result::SUCCESS)),
         "{cached:?}"
     );
-    assert_eq!(credit.handle_repeat(0, &in_flight, 2), Disposition::Joined);
+    let joined = Disposition::Joined(key.clone());
+    assert_eq!(credit.handle_repeat(0, &in_flight, 2), joined);
     let new = credit.handle_repeat(0, &event_ccr(0, 3), 2);
     assert_eq!(new, Disposition::Rejected(Fault::new(result::TOO_BUSY)));
     let answer = answer(&in_flight, result::SUCCESS);
--- a/crates/engine/src/attempt_permit.rs
+++ b/crates/engine/src/attempt_permit.rs
@@ -40,20 +40,26 @@
     ForwardedDeadlineStale,
 }
 
-/// Records when the client of a request stopped waiting, because the client received the response or disconnected.
+/// Records when the client of a request stopped waiting, because the client received the response or disconnected. The
+/// client may come back as long as the request is open.
 ///
 /// All clones share one state.
 #[derive(Clone, Debug, Default)]
 pub struct ClientPresence(Rc<Cell<Option<Instant>>>);
 
 impl ClientPresence {
-    /// Records that the client has stopped waiting now. Only the first call has an effect.
+    /// Records that the client has stopped waiting now. Has no effect if it did so before.
     pub fn record_gone(&self) {
         if self.0.get().is_none() {
             self.0.set(Some(Instant::now()));
         }
     }
 
+    /// Records that the client waits. Returns whether it had stopped.
+    pub fn record_back(&self) -> bool {
+        self.0.take().is_some()
+    }
+
     /// Returns when the client stopped waiting; `None` while it waits.
     pub fn stopped_waiting_at(&self) -> Option<Instant> {
         self.0.get()
--- a/crates/engine/src/attempt_permit/tests.rs
+++ b/crates/engine/src/attempt_permit/tests.rs
@@ -35,6 +35,17 @@
     assert_eq!(permit.check(), Err(WriteDenied::ClientGone));
 }
 
+/// Guards against an attempt that is written while a request is suspended, and against one that stays denied afterwards.
+#[tokio::test(start_paused = true)]
+async fn an_attempt_is_denied_only_while_its_client_is_away() {
+    let (permit, client, _) = permit(Duration::from_secs(1), Duration::from_secs(2));
+    client.record_gone();
+    assert_eq!(permit.check(), Err(WriteDenied::ClientGone));
+    assert!(client.record_back(), "the client was away");
+    assert_eq!(permit.check(), Ok(()));
+    assert!(!client.record_back(), "the client waits already");
+}
+
 #[tokio::test(start_paused = true)]
 async fn a_late_write_counts_as_a_violation_of_each_rule_it_breaks() {
     let (permit, client, violations) = permit(Duration::from_secs(1), Duration::from_secs(2));
--- a/crates/engine/src/engine/requests.rs
+++ b/crates/engine/src/engine/requests.rs
@@ -98,10 +98,26 @@
         }
     }
 
-    /// Denies further attempts of request `id`, whose client has gone, while the attempt in flight goes on: a server has
-    /// it, and it cannot be cancelled.
-    pub fn deny_further_attempts(self: &Rc<Self>, id: RequestId) {
-        self.feed(Event::Streaming(id));
+    /// Records that no client waits for request `id` any more, although a server may have it and it cannot be cancelled. An
+    /// attempt at a server goes on; none begins until [`Engine::resume`].
+    pub fn suspend(self: &Rc<Self>, id: RequestId) {
+        if let Some(request) = self.state.borrow_mut().requests.get_mut(id) {
+            request.client.record_gone();
+        }
+        debug!(target: EVENT_TARGET, request = id.0, "request.suspended");
+        self.feed(Event::Suspended(id));
+    }
+
+    /// Records that a client waits for request `id`, which may have been suspended.
+    pub fn resume(self: &Rc<Self>, id: RequestId) {
+        let open_request_is_suspended = match self.state.borrow_mut().requests.get_mut(id) {
+            Some(request) if request.is_open() => request.client.record_back(),
+            _ => false,
+        };
+        if open_request_is_suspended {
+            debug!(target: EVENT_TARGET, request = id.0, "request.resumed");
+            self.feed(Event::Resumed(id));
+        }
     }
 
     /// Returns the number of accepted requests that have no final response yet.
--- a/crates/frosthatch/tests/common/diameter_site.rs
+++ b/crates/frosthatch/tests/common/diameter_site.rs
@@ -59,7 +59,7 @@
 }
 
 /// Starts a gateway like [`start_site`], with a boot configuration that `change` may change.
-pub fn start_site_with_config(list: &str, more: &str, change: fn(&str) -> String) -> Site {
+pub fn start_site_with_config(list: &str, more: &str, change: impl Fn(&str) -> String) -> Site {
     start_site_with_log(list, more, change, |line| println!("gateway: {line}"))
 }
 
@@ -76,7 +76,7 @@
 fn start_site_with_log(
     list: &str,
     more: &str,
-    change: fn(&str) -> String,
+    change: impl Fn(&str) -> String,
     log: impl Fn(&str) + Send + 'static,
 ) -> Site {
     let discovery = Discovery::new(list);
--- a/crates/frosthatch/tests/diameter_attempts.rs
+++ b/crates/frosthatch/tests/diameter_attempts.rs
@@ -4,17 +4,17 @@
 mod common;
 #[path = "common/diameter_site.rs"]
 mod diameter_site;
+#[path = "common/holding_server.rs"]
+mod holding_server;
 
 use common::*;
 use diameter_site::*;
-use frosthatch_diameter::codec::{flag, Message};
+use frosthatch_diameter::codec::flag;
 use frosthatch_diameter::dictionary::{code, result};
 use frosthatch_test_doubles::diameter::*;
-use std::io::Write;
-use std::net::TcpStream;
-use std::sync::atomic::{AtomicBool, Ordering};
+use holding_server::*;
+use std::sync::atomic::Ordering;
 use std::sync::mpsc::Receiver;
-use std::sync::Arc;
 use std::thread::{self, sleep};
 use std::time::{Duration, Instant};
 
@@ -24,51 +24,6 @@
 
 const POLL_INTERVAL: Duration = Duration::from_millis(5);
 
-/// A server that holds its requests unanswered while `is_holding` is set.
-struct HoldingServer {
-    server: DiameterServer,
-    host: &'static str,
-    is_holding: Arc<AtomicBool>,
-}
-
-impl HoldingServer {
-    fn new(host: &'static str) -> HoldingServer {
-        let is_holding = Arc::new(AtomicBool::new(false));
-        let holds = is_holding.clone();
-        let answer =
-            move |ccr: &Message| (!holds.load(Ordering::SeqCst)).then(|| success_answer(ccr, host));
-        HoldingServer {
-            server: DiameterServer::new(host, answer),
-            host,
-            is_holding,
-        }
-    }
-
-    /// Answers a held request on the connection to the gateway.
-    fn answer(&self, held: &Message) {
-        let answer = success_answer(held, self.host).encode();
-        for stream in self.server.streams.lock().expect("not poisoned").iter_mut() {
-            let _ = stream.write_all(&answer);
-        }
-    }
-
-    /// Returns whether the gateway has ended every connection.
-    fn is_disconnected(&self) -> bool {
-        let streams = self.server.streams.lock().expect("not poisoned");
-        streams.iter().all(has_ended)
-    }
-}
-
-fn has_ended(stream: &TcpStream) -> bool {
-    let _ = stream.set_nonblocking(true);
-    let peeked = stream.peek(&mut [0]);
-    let _ = stream.set_nonblocking(false);
-    match peeked {
-        Ok(count) => count == 0,
-        Err(error) => error.kind() != std::io::ErrorKind::WouldBlock,
-    }
-}
-
 /// Sends requests until both servers have answered some for longer than a control interval, so that the gateway knows the
 /// usual latency and gives attempts a time limit.
 fn warm_up(client: &mut DiameterClient, servers: [&HoldingServer; 2]) {
@@ -110,22 +65,6 @@
     (a, b, site, client, events)
 }
 
-/// Waits until one of the servers has received a request. Returns it, its server, and the other server.
-fn next_held<'a>(
-    a: &'a HoldingServer,
-    b: &'a HoldingServer,
-) -> (Message, &'a HoldingServer, &'a HoldingServer) {
-    let since = Instant::now();
-    loop {
-        assert!(since.elapsed() < TIMEOUT, "a server receives the request");
-        for (server, other) in [(a, b), (b, a)] {
-            if let Ok(held) = server.server.requests.recv_timeout(POLL_INTERVAL) {
-                return (held, server, other);
-            }
-        }
-    }
-}
-
 /// Waits for the event; fails if a second copy of the request comes to a server before.
 fn wait_for_event(events: &Receiver<String>, event: &str, servers: [&HoldingServer; 2]) {
     let since = Instant::now();
--- a/crates/traffic-control/src/interface/events.rs
+++ b/crates/traffic-control/src/interface/events.rs
@@ -38,9 +38,13 @@
     },
     /// A client request.
     Request(Request),
-    /// The request may have no further attempt, and the one in flight goes on: a streamed answer has begun, or the client
-    /// has gone and the attempt cannot be cancelled.
+    /// A streamed answer has begun: the request may have no further attempt, and the one in flight goes on.
     Streaming(RequestId),
+    /// No client waits for the request any more, but a server may have it and cannot give it back: the request stays open
+    /// for a client that repeats it, and has no further attempt until then.
+    Suspended(RequestId),
+    /// A client waits for a suspended request again.
+    Resumed(RequestId),
     /// An attempt ended.
     Outcome(AttemptOutcome),
     /// An attempt that cannot be cancelled got no answer within its timeout. It stays in flight until its
--- a/crates/traffic-control/src/pending_request.rs
+++ b/crates/traffic-control/src/pending_request.rs
@@ -28,6 +28,18 @@
     pub retry_cost: f64,
 }
 
+/// What the client of an open request does.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub(crate) enum ClientState {
+    /// The client waits for the answer.
+    #[default]
+    Waiting,
+    /// The client has gone, and may come back for the answer: the request is suspended.
+    Away,
+    /// The client receives a streamed answer.
+    Receiving,
+}
+
 /// An open request.
 #[derive(Default)]
 pub(crate) struct PendingRequest {
@@ -53,8 +65,8 @@
     pub attempts: Vec<Attempt>,
     /// Whether the client has its final answer.
     pub is_closed: bool,
-    /// Whether a streamed answer has begun.
-    pub is_streaming: bool,
+    /// What the client does at present.
+    pub client: ClientState,
 }
 
 impl PendingRequest {
--- a/crates/traffic-control/src/policy/attempts.rs
+++ b/crates/traffic-control/src/policy/attempts.rs
@@ -6,7 +6,7 @@
 use crate::customer::AttemptChange;
 use crate::gateway::Gateway;
 use crate::interface::{Action, Effect, LeaseState, Micros, RequestId, Timer, UnservedReason};
-use crate::pending_request::{Attempt, AttemptState, PendingRequest};
+use crate::pending_request::{Attempt, AttemptState, ClientState, PendingRequest};
 
 /// Timeout of an attempt, while another one could follow, as a multiple of the usual time.
 const ATTEMPT_TIMEOUT_MULTIPLE: f64 = 4.0;
@@ -52,6 +52,9 @@
         let Some(request) = self.requests.get(&id) else {
             return;
         };
+        if request.client == ClientState::Away {
+            return self.reject_if_harmless(id, actions);
+        }
         let class = request.class;
         let send_deadline = request.send_deadline;
         let kind = AttemptKind::for_next_attempt(request);
@@ -75,6 +78,35 @@
         }
     }
 
+    /// Handles that no client waits for the request at present.
+    pub(super) fn on_suspended(&mut self, id: RequestId) {
+        if let Some(request) = self.requests.get_mut(&id) {
+            request.client = ClientState::Away;
+        }
+    }
+
+    /// Handles that a client waits for a suspended request again: if its attempt has ended meanwhile, another one may be
+    /// sent now.
+    pub(super) fn on_resumed(&mut self, id: RequestId, actions: &mut Vec<Action>) {
+        let request = self.requests.get_mut(&id);
+        let Some(request) = request.filter(|r| r.client == ClientState::Away) else {
+            return;
+        };
+        request.client = ClientState::Waiting;
+        if !request.has_attempt_in_flight() {
+            self.dispatch(id, actions);
+        }
+    }
+
+    /// Rejects a suspended request if its client's repeat may be treated as a new request. Any other one is held: only an
+    /// attempt within the effect rule may follow, once its client is back.
+    fn reject_if_harmless(&mut self, id: RequestId, actions: &mut Vec<Action>) {
+        let request = self.requests.get(&id);
+        if request.is_some_and(|r| r.may_reject(&self.settings)) {
+            self.reject_or_fail(id, 0.0, UnservedReason::AttemptsFailed, actions);
+        }
+    }
+
     /// Whether an attempt of this kind may be sent now.
     fn may_attempt(&self, request: &PendingRequest, kind: AttemptKind) -> bool {
         if kind == AttemptKind::First {
--- a/crates/traffic-control/src/policy/completion.rs
+++ b/crates/traffic-control/src/policy/completion.rs
@@ -2,7 +2,7 @@
 
 use crate::gateway::Gateway;
 use crate::interface::{Action, Micros, RequestId, UnservedReason};
-use crate::pending_request::AttemptState;
+use crate::pending_request::{AttemptState, ClientState};
 
 /// Minimum retry-after: a shorter one does not relieve the servers.
 const MIN_RETRY_AFTER_US: f64 = 100_000.0;
@@ -44,7 +44,7 @@
         let Some(request) = self.requests.get_mut(&id) else {
             return;
         };
-        if !request.is_closed && self.settings.cancel && !request.is_streaming {
+        if !request.is_closed && self.settings.cancel && request.client != ClientState::Receiving {
             let in_flight = request
                 .attempts
                 .iter()
--- a/crates/traffic-control/src/policy/effect_rule.rs
+++ b/crates/traffic-control/src/policy/effect_rule.rs
@@ -3,7 +3,7 @@
 use crate::interface::{
     Effect, Micros, Scope, Settings, CLIENT_GONE_SLACK_US, MAX_GATEWAY_DELAY_US,
 };
-use crate::pending_request::{Attempt, AttemptState, PendingRequest};
+use crate::pending_request::{Attempt, AttemptState, ClientState, PendingRequest};
 use crate::server::Server;
 
 /// Returns the time until which a repeat of this attempt may be written: its last byte has to arrive while servers
@@ -31,8 +31,8 @@
 
     /// Whether a further attempt may be sent to this server now.
     pub(super) fn may_send(&self, settings: &Settings, server: &Server, now: Micros) -> bool {
-        let is_finished = self.is_closed || self.is_streaming;
-        if is_finished || !settings.parallel_attempts && self.has_attempt_in_flight() {
+        let needs_attempt = !self.is_closed && self.client == ClientState::Waiting;
+        if !needs_attempt || !settings.parallel_attempts && self.has_attempt_in_flight() {
             return false;
         }
         match settings.classes[self.class].effect {
--- a/crates/traffic-control/src/policy/mod.rs
+++ b/crates/traffic-control/src/policy/mod.rs
@@ -22,6 +22,7 @@
 use crate::interface::{
     Action, Event, ListKind, Micros, RequestId, ServerEntry, Timer, UnservedReason,
 };
+use crate::pending_request::ClientState;
 use crate::random::random_unit;
 
 impl Gateway {
@@ -36,6 +37,8 @@
             Event::Servers { kind, entries } => self.on_servers(kind, entries, actions),
             Event::Request(request) => self.on_request(request, actions),
             Event::Streaming(id) => self.on_streaming(id),
+            Event::Suspended(id) => self.on_suspended(id),
+            Event::Resumed(id) => self.on_resumed(id, actions),
             Event::Outcome(outcome) => self.on_outcome(&outcome, actions),
             Event::Overdue {
                 request,
@@ -99,7 +102,7 @@
 
     fn on_streaming(&mut self, id: RequestId) {
         if let Some(request) = self.requests.get_mut(&id) {
-            request.is_streaming = true;
+            request.client = ClientState::Receiving;
         }
     }
 
