A connection that sends at full speed takes one step in a turn

During four long answers at full speed others wait up to 282 ms.

Cause: loops whose next input is always there and whose output is taken at once never wait, and readable() with try_read takes no part in the runtime's budget for a task. Ruled out: the clients' own delay (the others are new connections, and all timers stand still too); balance checks (they wait for the decision).

Change: after one step of such a loop the other tasks have their turn: a request, a read of bytes that have arrived already, a part of a long answer, a partial write, a Diameter message, a read of members' datagrams.

--- a/crates/cluster-membership/src/driver.rs
+++ b/crates/cluster-membership/src/driver.rs
@@ -12,9 +12,10 @@
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::net::UdpSocket;
+use tokio::task::yield_now;
 use tokio::time::{interval, MissedTickBehavior};
 
-/// Upper bound of the datagrams read per wake-up of the task, so that other tasks get to run in between.
+/// Upper bound of the datagrams read in one turn of the task.
 const MAX_DATAGRAMS_PER_READ: usize = 64;
 
 /// Receives the messages that other members sent for another subsystem.
@@ -109,6 +110,8 @@
             tokio::select! {
                 ready = self.socket.readable() => {
                     self.receive(&engine, ready.is_ok(), &mut buffer, &mut outputs);
+                    // More datagrams may have arrived already: the other tasks have their turn first.
+                    yield_now().await;
                 }
                 _ = ticks.tick() => self.membership.borrow_mut().tick(engine.now_us(), &mut outputs),
             }
--- a/crates/diameter/src/link.rs
+++ b/crates/diameter/src/link.rs
@@ -17,6 +17,7 @@
 use std::time::Duration;
 use tokio::io::{self, AsyncRead, AsyncReadExt, AsyncWrite, AsyncWriteExt};
 use tokio::sync::{mpsc, oneshot, Notify};
+use tokio::task::yield_now;
 use tokio::time::sleep;
 use write_queue::QueuedAttempt;
 
@@ -270,6 +271,8 @@
             match next_message(&mut buffer) {
                 Ok(Some(bytes)) => {
                     self.handle(decode(bytes), &mut out);
+                    // The next message may have arrived already: the other connections have their turn first.
+                    yield_now().await;
                     continue;
                 }
                 Ok(None) => {}
--- a/crates/http1/src/server/client.rs
+++ b/crates/http1/src/server/client.rs
@@ -16,6 +16,7 @@
 use std::pin::pin;
 use std::time::Duration;
 use tokio::net::TcpStream;
+use tokio::task::yield_now;
 use tokio::time::{sleep, timeout, Instant};
 use tracing::debug;
 
@@ -105,6 +106,8 @@
         loop {
             if let Some(readiness) = poll_once(pin!(self.stream.readable())).await {
                 readiness?;
+                // A client may send as fast as the gateway reads: the other connections have their turn first.
+                yield_now().await;
             } else {
                 self.last_polled_at = Instant::now();
                 self.stream.readable().await?;
--- a/crates/http1/src/server/conversation.rs
+++ b/crates/http1/src/server/conversation.rs
@@ -8,6 +8,7 @@
 use frosthatch_engine::Response;
 use std::rc::Rc;
 use std::time::Duration;
+use tokio::task::yield_now;
 use tracing::debug;
 
 /// Time after which a client may retry a request that was rejected because too many connections are busy or the gateway
@@ -63,6 +64,8 @@
                 client.close_reason = "last_answer";
                 return true;
             }
+            // The next request may have arrived already: the other connections have their turn first.
+            yield_now().await;
         }
     }
 
--- a/crates/http1/src/server/relay.rs
+++ b/crates/http1/src/server/relay.rs
@@ -10,6 +10,7 @@
 use std::cell::Cell;
 use std::pin::pin;
 use std::time::Duration;
+use tokio::task::yield_now;
 use tokio::time::timeout;
 
 /// Maximum time for which the client or the server may stall a long response: the time for writing one part to the
@@ -122,6 +123,8 @@
                 return false;
             };
             is_complete = is_last_part;
+            // Both sides may be as fast as the gateway: the other connections have their turn first.
+            yield_now().await;
         }
     }
 }
--- a/crates/http1/src/socket_io.rs
+++ b/crates/http1/src/socket_io.rs
@@ -6,6 +6,7 @@
 use std::io;
 use std::mem::MaybeUninit;
 use tokio::net::TcpStream;
+use tokio::task::yield_now;
 
 /// Maximum size of a read where the number of bytes to expect is unknown.
 pub const READ_CHUNK_BYTES: usize = 4 << 10;
@@ -77,7 +78,8 @@
     write_all_checked(stream, bytes, written, || Ok(())).await
 }
 
-/// Like [`write_all`], but calls `check` immediately before each write; nothing is awaited in between.
+/// Like [`write_all`], but calls `check` immediately before each write; nothing is awaited in between. Other tasks run
+/// between two writes.
 ///
 /// # Errors
 /// Returns the first error of `check` or of the socket.
@@ -95,6 +97,9 @@
             Err(e) => return Err(e),
             Ok(written_now) => written.set(written.get() + written_now),
         }
+        if written.get() < bytes.len() {
+            yield_now().await;
+        }
     }
     Ok(())
 }
