Long answers that servers give slowly are passed on, not cut off

Cause: the attempt's time limit, which is there for silent servers, held until 64 KiB, or the first byte of a declared length, had come.

Change: response_start decides from when on a response is passed on: a long declared length with its head, an unknown length when it is complete, has 64 KiB, or would lose its value (Action::Send says when). The limit ends with the head. A pause of 2 s within an unknown length is silence; the request's further attempts have to be complete, so that no second silent answer is begun. A removal ends attempts without a head only. A client is given up when it takes no byte for 10 s, not when one part takes that long. For traffic control such an answer took until its head. Bytes behind a streamed answer no longer return the connection to the pool.

--- a/crates/diameter/src/servers/attempt.rs
+++ b/crates/diameter/src/servers/attempt.rs
@@ -6,7 +6,9 @@
 use crate::credit::{classify_answer, forwarded_request, AnswerClass};
 use crate::link::{SentAttempt, WriteHandle};
 use crate::overload::announce_support;
-use frosthatch_engine::{Attempt, AttemptPermit, AttemptResult, Payload, WriteDenied};
+use frosthatch_engine::{
+    Attempt, AttemptDeadlines, AttemptPermit, AttemptResult, Payload, WriteDenied,
+};
 use frosthatch_traffic_control::{CompletionStatus, ServerId};
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
@@ -70,7 +72,12 @@
 }
 
 impl Payload for OutgoingRequest {
-    fn attempt(&self, server: &ServerId, deadline: Instant, permit: AttemptPermit) -> Attempt {
+    fn attempt(
+        &self,
+        server: &ServerId,
+        deadlines: AttemptDeadlines,
+        permit: AttemptPermit,
+    ) -> Attempt {
         let request = self.clone();
         let server = server.clone();
         Box::pin(async move {
@@ -80,7 +87,7 @@
                 servers, history, ..
             } = request;
             let result = match sent {
-                Ok(pending) => servers.wait_for_outcome(pending, deadline).await,
+                Ok(pending) => servers.wait_for_outcome(pending, deadlines.answer_by).await,
                 Err(status) => AttemptResult::without_response(status),
             };
             history.record_end(server, result.status);
--- a/crates/discovery/src/list/client.rs
+++ b/crates/discovery/src/list/client.rs
@@ -74,7 +74,8 @@
         check_write: &|_| Ok(()),
         on_written: &|| (),
     };
-    let response = connection.exchange(sending, MAX_LIST_BYTES).await;
+    let begun = connection.request(sending).await.map_err(CallError::Io)?;
+    let response = connection.read_body(begun, MAX_LIST_BYTES).await;
     let response = response.map_err(CallError::Io)?;
     if response.rest.is_some() {
         return Err(CallError::TooLong);
--- a/crates/engine/src/engine/actions.rs
+++ b/crates/engine/src/engine/actions.rs
@@ -20,10 +20,12 @@
                 server,
                 timeout_us,
                 begin_within_us,
+                pass_on_after_us,
             } => {
                 let limits = AttemptTimeLimits {
                     timeout_us,
                     begin_within_us,
+                    pass_on_after_us,
                 };
                 self.start_attempt(state, request, server, &limits);
             }
--- a/crates/engine/src/engine/attempts.rs
+++ b/crates/engine/src/engine/attempts.rs
@@ -3,7 +3,7 @@
 use super::requests::decision_deadline;
 use super::{Engine, State, EVENT_TARGET};
 use crate::attempt_permit::AttemptPermit;
-use crate::ports::{AttemptResult, Response};
+use crate::ports::{AttemptDeadlines, AttemptResult, Response};
 use crate::request_table::{PendingRequest, RunningAttempt};
 use frosthatch_traffic_control::{
     AttemptOutcome, CompletionStatus, Event, Micros, RequestId, ServerId,
@@ -19,6 +19,8 @@
     pub timeout_us: Micros,
     /// The time within which the last byte of the attempt has to be written.
     pub begin_within_us: Micros,
+    /// The time after which a response that is still arriving is passed on.
+    pub pass_on_after_us: Micros,
 }
 
 impl Engine {
@@ -61,14 +63,19 @@
         );
         // The decision may have taken long, as when the process got no processor: the attempt still ends before the answer
         // is due, so that traffic control decides on the answer.
-        let deadline = (started_at + Duration::from_micros(limits.timeout_us))
-            .min(decision_deadline(request.client_deadline));
-        let mut running = payload.attempt(&server, deadline, permit);
+        let latest_end = decision_deadline(request.client_deadline);
+        let after = |us| (started_at + Duration::from_micros(us)).min(latest_end);
+        let answer_by = after(limits.timeout_us);
+        let deadlines = AttemptDeadlines {
+            answer_by,
+            pass_on_at: (!request.had_silent_response).then(|| after(limits.pass_on_after_us)),
+        };
+        let mut running = payload.attempt(&server, deadlines, permit);
         let can_cancel_attempts = request.can_cancel_attempts;
         let engine = self.clone();
         let task = tokio::task::spawn_local(async move {
             if !can_cancel_attempts {
-                if let Ok(result) = timeout_at(deadline, &mut running).await {
+                if let Ok(result) = timeout_at(answer_by, &mut running).await {
                     return engine.finish_attempt(id, attempt, result);
                 }
                 engine.report_overdue(id, attempt);
@@ -170,6 +177,7 @@
         result: AttemptResult,
     ) -> AttemptOutcome {
         request.last_attempt_timed_out = result.status == CompletionStatus::NoAnswer;
+        request.had_silent_response |= result.fell_silent;
         if result.status == CompletionStatus::Served {
             let response = match result.rest {
                 None => Response::Served(result.body),
@@ -177,7 +185,7 @@
             };
             request.respond(&self.counters, response);
         }
-        let elapsed_us = running.elapsed_us();
+        let elapsed_us = running.elapsed_us_at(result.streamed_since.unwrap_or_else(Instant::now));
         debug!(
             target: EVENT_TARGET,
             request = id.0,
--- a/crates/engine/src/engine/requests.rs
+++ b/crates/engine/src/engine/requests.rs
@@ -66,6 +66,7 @@
                 can_cancel_attempts,
                 attempts: Vec::new(),
                 last_attempt_timed_out: false,
+                had_silent_response: false,
             };
             state.requests.insert(request.id, pending);
             let key = TimerKey::AnswerDeadline(request.id.0);
--- a/crates/engine/src/lib.rs
+++ b/crates/engine/src/lib.rs
@@ -22,8 +22,8 @@
 pub use engine::Engine;
 pub use forwarded_deadline::ForwardedDeadline;
 pub use ports::{
-    Attempt, AttemptResult, BoxedFuture, CounterCall, DuplicateRequest, Endpoint, EndpointObserver,
-    EndpointState, IncomingRequest, Payload, PluginRequest, PluginVerdict, PolicyLease, Protocol,
-    RequestPlugins, Response, UsageReporter,
+    Attempt, AttemptDeadlines, AttemptResult, BoxedFuture, CounterCall, DuplicateRequest, Endpoint,
+    EndpointObserver, EndpointState, IncomingRequest, Payload, PluginRequest, PluginVerdict,
+    PolicyLease, Protocol, RequestPlugins, Response, UsageReporter,
 };
 pub use violations::{Rule, Violations};
--- a/crates/engine/src/ports.rs
+++ b/crates/engine/src/ports.rs
@@ -7,7 +7,7 @@
 mod plugin;
 mod request;
 
-pub use attempt::{Attempt, AttemptResult, BoxedFuture, Payload};
+pub use attempt::{Attempt, AttemptDeadlines, AttemptResult, BoxedFuture, Payload};
 pub use endpoint::{Endpoint, EndpointObserver, EndpointState, Protocol};
 pub use peers::{CounterCall, PolicyLease, UsageReporter};
 pub use plugin::{PluginRequest, PluginVerdict, RequestPlugins};
--- a/crates/engine/src/ports/attempt.rs
+++ b/crates/engine/src/ports/attempt.rs
@@ -14,14 +14,29 @@
 /// A running attempt. Dropping the future cancels the attempt, if [`Payload::can_cancel_attempts`] says so.
 pub type Attempt = BoxedFuture<AttemptResult>;
 
+/// When an attempt ends at the latest.
+#[derive(Clone, Copy, Debug)]
+pub struct AttemptDeadlines {
+    /// When a response has to have begun, and to be complete if it is known to be short.
+    pub answer_by: Instant,
+    /// When a response of unknown length that is still arriving is passed on to the client as a stream. It may be later than
+    /// `answer_by`: a server that sends a response is not silent. `None`: it has to be complete by `answer_by`.
+    pub pass_on_at: Option<Instant>,
+}
+
 /// The part of a client's request that is sent to a server. The front end creates it for the back end of its protocol;
 /// it is opaque to the engine.
 pub trait Payload {
     /// Makes one attempt on `server`. If `permit` denies the write, the attempt ends as not sent.
     ///
-    /// An attempt that can be cancelled ends by `deadline` in any case, and writes no further bytes once it is dropped.
-    /// One that cannot is not begun after `deadline`; it may end later.
-    fn attempt(&self, server: &ServerId, deadline: Instant, permit: AttemptPermit) -> Attempt;
+    /// An attempt that can be cancelled ends by `deadlines` in any case, and writes no further bytes once it is dropped.
+    /// One that cannot is not begun after `answer_by`; it may end later.
+    fn attempt(
+        &self,
+        server: &ServerId,
+        deadlines: AttemptDeadlines,
+        permit: AttemptPermit,
+    ) -> Attempt;
 
     /// Whether the gateway can end an attempt by itself. On a connection that carries one request it closes the
     /// connection. On a connection that carries many it cannot: the server may execute what was written until it
@@ -37,6 +52,10 @@
     pub body: Bytes,
     /// The rest of a streamed response, for the front end of the payload's protocol.
     pub rest: Option<Box<dyn Any>>,
+    /// When the head of a streamed response arrived: how long the rest takes says nothing of the server's load.
+    pub streamed_since: Option<Instant>,
+    /// Whether a response began and then fell silent.
+    pub fell_silent: bool,
     /// The customer's use over all gateways as the server meters it, as a fraction of its rate limit or of its
     /// concurrency limit.
     pub metered_use: Option<f64>,
@@ -51,6 +70,8 @@
             status,
             body: Bytes::new(),
             rest: None,
+            streamed_since: None,
+            fell_silent: false,
             metered_use: None,
             load_report: Vec::new(),
         }
--- a/crates/engine/src/request_table.rs
+++ b/crates/engine/src/request_table.rs
@@ -22,7 +22,12 @@
 impl RunningAttempt {
     /// Returns the time since the attempt started, in microseconds.
     pub fn elapsed_us(&self) -> Micros {
-        self.started_at.elapsed().as_micros() as Micros
+        self.elapsed_us_at(Instant::now())
+    }
+
+    /// Returns the time from the start of the attempt to `end`, in microseconds.
+    pub fn elapsed_us_at(&self, end: Instant) -> Micros {
+        end.duration_since(self.started_at).as_micros() as Micros
     }
 }
 
@@ -48,6 +53,9 @@
     pub attempts: Vec<Option<RunningAttempt>>,
     /// Whether the attempt that ended last received no response in time.
     pub last_attempt_timed_out: bool,
+    /// Whether an attempt's response began and fell silent. A response that is passed on could not be replaced if it did so
+    /// as well, so those of further attempts have to be complete.
+    pub had_silent_response: bool,
 }
 
 impl PendingRequest {
--- a/crates/engine/tests/late_decisions.rs
+++ b/crates/engine/tests/late_decisions.rs
@@ -1,8 +1,8 @@
 //! Tests of decisions that take long, as when the process gets no processor for some milliseconds.
 
 use frosthatch_engine::{
-    Attempt, AttemptPermit, AttemptResult, Clock, Endpoint, EndpointState, Engine, IncomingRequest,
-    Payload, PolicyLease, Protocol, RequestCounters, Response,
+    Attempt, AttemptDeadlines, AttemptPermit, AttemptResult, Clock, Endpoint, EndpointState,
+    Engine, IncomingRequest, Payload, PolicyLease, Protocol, RequestCounters, Response,
 };
 use frosthatch_traffic_control::{
     CompletionStatus, Event, Gateway, LeaseState, ListKind, Micros, Request, RequestId, ServerId,
@@ -36,9 +36,9 @@
 struct Unanswered;
 
 impl Payload for Unanswered {
-    fn attempt(&self, _: &ServerId, deadline: Instant, _: AttemptPermit) -> Attempt {
+    fn attempt(&self, _: &ServerId, deadlines: AttemptDeadlines, _: AttemptPermit) -> Attempt {
         Box::pin(async move {
-            sleep_until(deadline).await;
+            sleep_until(deadlines.answer_by).await;
             AttemptResult::without_response(CompletionStatus::NoAnswer)
         })
     }
--- a/crates/http1/src/backend.rs
+++ b/crates/http1/src/backend.rs
@@ -6,6 +6,7 @@
 mod forwarded_request;
 mod outgoing;
 mod pooled_connection;
+mod response_start;
 mod response_stream;
 mod server_table;
 mod upstream;
--- a/crates/http1/src/backend/attempt.rs
+++ b/crates/http1/src/backend/attempt.rs
@@ -3,12 +3,15 @@
 use super::connect::{AcquiredConnection, ConnectFailure};
 use super::forwarded_request::ForwardedRequest;
 use super::pooled_connection::PooledConnection;
+use super::response_start::{read_response_start, ResponseFailure};
 use super::response_stream::ResponseStream;
 use super::upstream::{Route, Upstream};
-use crate::conn::{Sending, ServerConnection, ServerResponse, WriteProgress};
+use crate::conn::{BegunResponse, Sending, ServerConnection, ServerResponse, WriteProgress};
 use crate::limits::MAX_BODY_BYTES;
 use crate::staleness::StalenessEstimator;
-use frosthatch_engine::{AttemptPermit, AttemptResult, ForwardedDeadline, WriteDenied};
+use frosthatch_engine::{
+    AttemptDeadlines, AttemptPermit, AttemptResult, ForwardedDeadline, WriteDenied,
+};
 use frosthatch_traffic_control::{CompletionStatus, ServerId};
 use std::any::Any;
 use std::cell::Cell;
@@ -28,24 +31,29 @@
 }
 
 enum ServerReply {
-    Received(ServerResponse),
+    Received {
+        begun_at: Instant,
+        response: ServerResponse,
+    },
     ConnectionFailed,
     TimedOut,
+    FellSilent,
 }
 
 impl Upstream {
-    /// Makes one attempt, which ends by `deadline`. Only the rest of a long response is streamed after the attempt.
+    /// Makes one attempt, which ends by `deadlines`. Only the rest of a long response is streamed after the attempt.
     pub(super) async fn attempt(
         &self,
         server: &ServerId,
         request: &ForwardedRequest,
-        deadline: Instant,
+        deadlines: &AttemptDeadlines,
         permit: &AttemptPermit,
     ) -> AttemptResult {
         let Some(route) = self.route(server) else {
             return AttemptResult::without_response(CompletionStatus::NoConnection);
         };
-        let acquired = match self.connect(server, &route, deadline, permit).await {
+        let connecting = self.connect(server, &route, deadlines.answer_by, permit);
+        let acquired = match connecting.await {
             Ok(acquired) => acquired,
             Err(status) => return AttemptResult::without_response(status),
         };
@@ -54,7 +62,7 @@
             idle_time,
         } = acquired;
         let exchange = self
-            .exchange(server, &route, &connection.conn, request, deadline, permit)
+            .exchange(server, &route, &connection.conn, request, deadlines, permit)
             .await;
         if let Some(reason) = exchange.write_denied {
             log_denied(server, reason, exchange.written_bytes);
@@ -75,8 +83,8 @@
             self.staleness.borrow_mut().record_use(idle_time, is_lost);
         }
         match exchange.reply {
-            ServerReply::Received(response) => {
-                self.response_result(server, &route, connection, response)
+            ServerReply::Received { begun_at, response } => {
+                self.response_result(server, &route, connection, begun_at, response)
             }
             // Servers never execute an incomplete request. A complete one may have been executed, or may still be
             // executed.
@@ -87,6 +95,10 @@
                 AttemptResult::without_response(CompletionStatus::ConnectionLost)
             }
             ServerReply::TimedOut => AttemptResult::without_response(CompletionStatus::NoAnswer),
+            ServerReply::FellSilent => AttemptResult {
+                fell_silent: true,
+                ..AttemptResult::without_response(CompletionStatus::NoAnswer)
+            },
         }
     }
 
@@ -122,11 +134,11 @@
         route: &Route,
         conn: &ServerConnection,
         request: &ForwardedRequest,
-        deadline: Instant,
+        deadlines: &AttemptDeadlines,
         permit: &AttemptPermit,
     ) -> ExchangeOutcome {
         let has_long_body = request.body.len() > MAX_BODY_BYTES;
-        let forwarded_deadline = ForwardedDeadline::new(deadline, has_long_body);
+        let forwarded_deadline = ForwardedDeadline::new(deadlines.answer_by, has_long_body);
         let head = request.head_with_deadline(&forwarded_deadline);
         let written = Cell::new(0);
         let write_denied = Cell::new(None);
@@ -153,12 +165,13 @@
             on_written: &record_written,
         };
         let started_at = Instant::now();
-        let response = tokio::select! {
-            response = timeout_at(deadline, conn.exchange(sending, MAX_BODY_BYTES)) => response,
+        // A removed server does not begin a response any more; one that it has begun goes on.
+        let begun = tokio::select! {
+            begun = timeout_at(deadlines.answer_by, conn.request(sending)) => begun,
             () = route.removed.notified() => Ok(Err(io::ErrorKind::ConnectionAborted.into())),
         };
-        let reply = match response {
-            Ok(Ok(response)) => ServerReply::Received(response),
+        let reply = match begun {
+            Ok(Ok(begun)) => read_reply(conn, begun, deadlines).await,
             Ok(Err(_)) => ServerReply::ConnectionFailed,
             Err(_) => ServerReply::TimedOut,
         };
@@ -184,10 +197,12 @@
         server: &ServerId,
         route: &Route,
         connection: PooledConnection,
+        begun_at: Instant,
         response: ServerResponse,
     ) -> AttemptResult {
         let status = completion_status(&response);
         let is_reusable = response.is_connection_reusable;
+        let streamed_since = response.rest.is_some().then_some(begun_at);
         let mut stream = None;
         if let Some(rest) = response.rest {
             stream = Some(Box::new(ResponseStream {
@@ -204,12 +219,29 @@
             status,
             body: response.body,
             rest: stream,
+            streamed_since,
+            fell_silent: false,
             metered_use: response.metered_use,
             load_report: response.load_report,
         }
     }
 }
 
+/// Reads a response that has begun until it may be passed on.
+async fn read_reply(
+    conn: &ServerConnection,
+    begun: BegunResponse,
+    deadlines: &AttemptDeadlines,
+) -> ServerReply {
+    let begun_at = Instant::now();
+    match read_response_start(conn, begun, deadlines).await {
+        Ok(response) => ServerReply::Received { begun_at, response },
+        Err(ResponseFailure::ConnectionFailed) => ServerReply::ConnectionFailed,
+        Err(ResponseFailure::TimedOut) => ServerReply::TimedOut,
+        Err(ResponseFailure::FellSilent) => ServerReply::FellSilent,
+    }
+}
+
 fn log_denied(server: &ServerId, reason: WriteDenied, written_bytes: usize) {
     debug!(server = %server.0, %reason, written = written_bytes, "attempt.not_sent");
 }
--- a/crates/http1/src/backend/outgoing.rs
+++ b/crates/http1/src/backend/outgoing.rs
@@ -2,10 +2,9 @@
 
 use super::forwarded_request::ForwardedRequest;
 use super::upstream::Upstream;
-use frosthatch_engine::{Attempt, AttemptPermit, Payload};
+use frosthatch_engine::{Attempt, AttemptDeadlines, AttemptPermit, Payload};
 use frosthatch_traffic_control::ServerId;
 use std::rc::Rc;
-use tokio::time::Instant;
 
 /// Request that the engine sends to the server it chooses, and to another one if it retries.
 pub struct OutgoingRequest {
@@ -16,11 +15,20 @@
 }
 
 impl Payload for OutgoingRequest {
-    fn attempt(&self, server: &ServerId, deadline: Instant, permit: AttemptPermit) -> Attempt {
+    fn attempt(
+        &self,
+        server: &ServerId,
+        deadlines: AttemptDeadlines,
+        permit: AttemptPermit,
+    ) -> Attempt {
         let upstream = self.upstream.clone();
         let request = self.request.clone();
         let server = server.clone();
-        Box::pin(async move { upstream.attempt(&server, &request, deadline, &permit).await })
+        Box::pin(async move {
+            upstream
+                .attempt(&server, &request, &deadlines, &permit)
+                .await
+        })
     }
 
     fn can_cancel_attempts(&self) -> bool {
--- a/crates/http1/src/backend/upstream.rs
+++ b/crates/http1/src/backend/upstream.rs
@@ -82,7 +82,7 @@
 
     /// Returns the connection of a completely read response to the pool, if it is reusable.
     pub(crate) fn finish_stream(&self, stream: ResponseStream) {
-        if stream.is_reusable {
+        if stream.is_reusable && stream.rest.has_no_excess_bytes() {
             self.put_back(&stream.server, stream.address, stream.connection);
         }
     }
--- a/crates/http1/src/conn.rs
+++ b/crates/http1/src/conn.rs
@@ -1,15 +1,17 @@
 //! Connection to a server, which carries one request at a time. A response that contradicts its own framing is an
 //! error; its request may have been executed nevertheless.
 
+mod begun_response;
 mod body;
 mod response;
 
+pub use begun_response::BegunResponse;
 pub use body::RemainingBody;
 pub use response::ServerResponse;
 
 use crate::error::MessageError;
 use crate::limits::{MAX_BODY_BYTES, MAX_HEAD_BYTES, MAX_LONG_BODY_BYTES};
-use crate::socket_io::{peek, read_bulk, read_some, write_all_checked, READ_CHUNK_BYTES};
+use crate::socket_io::{peek, read_bulk, read_some, write_all_checked};
 use body::ResponseFraming;
 use frosthatch_engine::WriteDenied;
 use frosthatch_sockets::{connect, ConnectError};
@@ -63,16 +65,11 @@
         peek(&self.stream).is_err_and(|e| e.kind() == io::ErrorKind::WouldBlock)
     }
 
-    /// Sends a request and reads its response. Of a body longer than `max_body_bytes`, reads only the beginning;
-    /// [`ServerConnection::read_body_part`] reads the remainder by the response's `rest`.
+    /// Sends a request and reads its response, up to the end of its head and what arrived with that.
     ///
     /// # Errors
     /// Fails if `sending` denies a write, the connection fails, or the response is malformed.
-    pub async fn exchange(
-        &self,
-        sending: Sending<'_>,
-        max_body_bytes: usize,
-    ) -> io::Result<ServerResponse> {
+    pub async fn request(&self, sending: Sending<'_>) -> io::Result<BegunResponse> {
         self.send(&sending).await?;
         (sending.on_written)();
         let mut buffer = Vec::new();
@@ -80,8 +77,31 @@
         if matches!(framing, ResponseFraming::Length(length) if length > MAX_LONG_BODY_BYTES) {
             return Err(MessageError::BodyTooLong.into());
         }
-        let body = RemainingBody::new(framing, buffer);
-        self.read_body_start(response, body, max_body_bytes).await
+        BegunResponse::new(response, RemainingBody::new(framing, buffer))
+    }
+
+    /// Reads the body until it is complete or longer than `max_bytes`.
+    ///
+    /// # Errors
+    /// Fails if the connection fails or the body is malformed.
+    pub async fn read_body(
+        &self,
+        mut begun: BegunResponse,
+        max_bytes: usize,
+    ) -> io::Result<ServerResponse> {
+        while !begun.is_complete() && begun.received_bytes() <= max_bytes {
+            self.read_more_body(&mut begun).await?;
+        }
+        Ok(begun.into_response())
+    }
+
+    /// Waits for the next part of the body and appends it. Cancel safe: no bytes are lost.
+    ///
+    /// # Errors
+    /// Fails if the connection fails or the body is malformed.
+    pub async fn read_more_body(&self, begun: &mut BegunResponse) -> io::Result<()> {
+        let at_end = read_bulk(&self.stream, begun.read_buffer()).await? == 0;
+        begun.decode(at_end)
     }
 
     /// Replaces the content of `part` with the next part of a long body. Returns whether the body is complete.
@@ -163,38 +183,4 @@
             _ => Ok(()),
         }
     }
-
-    /// Reads the body into `response`. Of a body longer than `max_bytes`, reads only the beginning and stores `rest` in
-    /// `response`.
-    async fn read_body_start(
-        &self,
-        mut response: ServerResponse,
-        mut rest: RemainingBody,
-        max_bytes: usize,
-    ) -> io::Result<ServerResponse> {
-        let declared_length = rest.declared_length();
-        let is_declared_long = declared_length.is_some_and(|length| length > max_bytes);
-        let capacity = declared_length
-            .unwrap_or(0)
-            .min(max_bytes + READ_CHUNK_BYTES);
-        let mut body = Vec::with_capacity(capacity);
-        loop {
-            if rest.decode_into(&mut body, false)? {
-                response.is_connection_reusable &= rest.buffer.is_empty();
-                break;
-            }
-            // A body that is declared long is streamed from its first bytes on.
-            if body.len() > max_bytes || is_declared_long && !body.is_empty() {
-                response.rest = Some(rest);
-                break;
-            }
-            if read_bulk(&self.stream, &mut rest.buffer).await? == 0 {
-                rest.decode_into(&mut body, true)?;
-                response.is_connection_reusable = false;
-                break;
-            }
-        }
-        response.body = body.into();
-        Ok(response)
-    }
 }
--- a/crates/http1/src/conn/body.rs
+++ b/crates/http1/src/conn/body.rs
@@ -41,6 +41,11 @@
         }
     }
 
+    /// Returns whether no bytes were read behind the end of the body.
+    pub(crate) fn has_no_excess_bytes(&self) -> bool {
+        self.buffer.is_empty()
+    }
+
     /// Decodes the buffered bytes and appends them to `body`. `at_end` states that the connection has ended. Returns
     /// whether the body is complete.
     pub(super) fn decode_into(&mut self, body: &mut Vec<u8>, at_end: bool) -> io::Result<bool> {
--- a/crates/http1/src/server/relay.rs
+++ b/crates/http1/src/server/relay.rs
@@ -13,8 +13,8 @@
 use tokio::task::yield_now;
 use tokio::time::timeout;
 
-/// Maximum time for which the client or the server may stall a long response: the time for writing one part to the
-/// client, or for receiving one from the server.
+/// Maximum time for which the client or the server may stall a long response: the time in which the client takes no byte,
+/// or the server sends none.
 const BODY_STALL_TIMEOUT: Duration = Duration::from_secs(10);
 
 /// Framing of a relayed body towards the client.
@@ -129,9 +129,17 @@
     }
 }
 
-/// Writes a part of the response. Returns whether this succeeded within [`BODY_STALL_TIMEOUT`].
+/// Writes a part of the response. Returns false if the connection fails, or if the client takes no byte for
+/// [`BODY_STALL_TIMEOUT`].
 async fn write_part(client: &ClientConnection, output: &[u8]) -> bool {
     let written = Cell::new(0);
-    let writing = write_all(&client.stream, output, &written);
-    matches!(timeout(BODY_STALL_TIMEOUT, writing).await, Ok(Ok(())))
+    let mut writing = pin!(write_all(&client.stream, output, &written));
+    loop {
+        let written_before = written.get();
+        match timeout(BODY_STALL_TIMEOUT, &mut writing).await {
+            Ok(result) => return result.is_ok(),
+            Err(_) if written.get() == written_before => return false,
+            Err(_) => {}
+        }
+    }
 }
--- a/crates/simulator-adapter/src/wire/outgoing.rs
+++ b/crates/simulator-adapter/src/wire/outgoing.rs
@@ -99,12 +99,13 @@
     /// Converts an action of an instance to a message; returns `None` if the simulator has no such message.
     pub fn from_action(instance: u32, action: Action) -> Option<Self> {
         Some(match action {
-            // In the simulator an attempt begins as soon as it is sent, so `begin_within_us` has no effect.
+            // In the simulator an attempt begins as soon as it is sent, and the simulator passes answers on: the other times
+            // have no effect.
             Action::Send {
                 request,
                 server,
                 timeout_us,
-                begin_within_us: _,
+                ..
             } => OutgoingMessage::StartAttempt {
                 instance,
                 id: format_request_id(request),
--- a/crates/traffic-control/src/interface/actions.rs
+++ b/crates/traffic-control/src/interface/actions.rs
@@ -55,6 +55,9 @@
         /// Time from now within which the attempt may begin; later it must not be sent and counts as never run. The
         /// driver checks this immediately before it sends, as establishing a connection may take long.
         begin_within_us: Micros,
+        /// Time from now after which an answer that is still arriving is passed on as it arrives, even if it may turn out to be
+        /// short: it loses its value then, and no other attempt could still serve the request.
+        pass_on_after_us: Micros,
     },
     /// Cancel an attempt: its answer is no longer used, but the attempt may still run.
     Cancel {
--- a/crates/traffic-control/src/policy/attempts.rs
+++ b/crates/traffic-control/src/policy/attempts.rs
@@ -177,6 +177,7 @@
             server,
             timeout_us,
             begin_within_us,
+            pass_on_after_us: remaining_us.saturating_sub(REPLY_MARGIN_US),
         });
     }
 
--- a/crates/traffic-control/tests/replay/play.rs
+++ b/crates/traffic-control/tests/replay/play.rs
@@ -228,7 +228,7 @@
                 request,
                 server,
                 timeout_us,
-                begin_within_us: _,
+                ..
             } => {
                 self.schedule_outcome(g, request, server, timeout_us);
                 0
@@ -371,7 +371,8 @@
 fn recorded_form(action: &Action) -> String {
     let request_text = |id: &RequestId| format!("RequestId({})", id.0);
     match action {
-        Action::Send { request, server, timeout_us, begin_within_us } => format!(
+        // The recordings are older than `pass_on_after_us`, which follows from the request's deadline.
+        Action::Send { request, server, timeout_us, begin_within_us, .. } => format!(
             "Send {{ request: {}, server: ServerId({:?}), timeout_us: {timeout_us}, begin_within_us: {begin_within_us} }}",
             request_text(request),
             server.0
