A long request that is given up is discarded where its server has not read it

Cause: a close lets the system send what it has buffered. The checks before each write end with the last write, and the last byte reaches the server later.

Change: a connection that is dropped while a long request has no response yet is reset. Ruled out: a smaller send buffer (it would slow down every long request).

--- a/crates/frosthatch/tests/late_starts.rs
+++ b/crates/frosthatch/tests/late_starts.rs
@@ -3,6 +3,9 @@
 
 mod common;
 use common::*;
+use std::io::Read;
+use std::net::{SocketAddr, TcpListener};
+use std::sync::mpsc::{channel, Sender};
 use std::thread;
 use std::time::{Duration, Instant};
 
@@ -154,3 +157,58 @@
         );
     }
 }
+
+/// A server that reads slowly, without an answer, and sends the number of bytes of each connection when it ends.
+fn start_slow_reader(bytes_of_connections: Sender<usize>) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a loopback port is free");
+    let address = listener.local_addr().expect("the listener is bound");
+    thread::spawn(move || {
+        for mut stream in listener.incoming().flatten() {
+            let bytes_of_connections = bytes_of_connections.clone();
+            thread::spawn(move || {
+                let mut chunk = [0; 20_000];
+                let mut bytes = 0;
+                while let Ok(count @ 1..) = stream.read(&mut chunk) {
+                    bytes += count;
+                    thread::sleep(Duration::from_millis(20));
+                }
+                let _ = bytes_of_connections.send(bytes);
+            });
+        }
+    });
+    address
+}
+
+/// Guards against a request that the system goes on sending after the gateway has given it up: its last byte, with which
+/// a server begins it, would come after its client has left or its time is over.
+#[test]
+fn a_long_request_that_was_given_up_does_not_reach_its_server_whole() {
+    for body_bytes in [300_000, 1_000_000, 3_000_000] {
+        for client_leaves in [true, false] {
+            let (sender, bytes_of_connections) = channel();
+            let server = start_slow_reader(sender);
+            let discovery = Discovery::new(&endpoint_entry("a", server, 0, "Ready"));
+            let gateway = Gateway::start_alone(&discovery);
+            let request = ClientRequest {
+                body: "x".repeat(body_bytes),
+                ..ClientRequest::top_up()
+            };
+            let mut client = gateway.client();
+            client.send(&request.with_header("X-Expires-In", "0.2").to_text());
+            if client_leaves {
+                thread::sleep(Duration::from_millis(50));
+                drop(client);
+            } else {
+                let answer = client.read_response().expect("the gateway answers");
+                assert_ne!(answer.status(), 200);
+            }
+            let bytes = bytes_of_connections
+                .recv_timeout(TIMEOUT)
+                .expect("the gateway ends its connection");
+            assert!(
+                bytes < body_bytes,
+                "the server read {bytes} of {body_bytes}"
+            );
+        }
+    }
+}
--- a/crates/http1/src/conn.rs
+++ b/crates/http1/src/conn.rs
@@ -16,9 +16,11 @@
 use frosthatch_engine::WriteDenied;
 use frosthatch_sockets::{connect, ConnectError};
 use response::{parse_response_head, ResponseHead};
+use socket2::SockRef;
 use std::cell::Cell;
 use std::io;
 use std::net::SocketAddr;
+use std::time::Duration;
 use tokio::net::TcpStream;
 
 /// Maximum number of interim responses before the final one.
@@ -45,9 +47,20 @@
     pub on_written: &'a dyn Fn(),
 }
 
-/// Connection to a server, which closes when it is dropped.
+/// Connection to a server, which closes when it is dropped. While a long request has no response yet, it is reset: the
+/// system would go on sending what it has buffered, and the server would begin the request after it was given up.
 pub struct ServerConnection {
     stream: TcpStream,
+    /// Whether a long request was sent, in whole or in part, to which no response has begun.
+    is_long_request_pending: Cell<bool>,
+}
+
+impl Drop for ServerConnection {
+    fn drop(&mut self) {
+        if self.is_long_request_pending.get() {
+            let _ = SockRef::from(&self.stream).set_linger(Some(Duration::ZERO));
+        }
+    }
 }
 
 impl ServerConnection {
@@ -57,7 +70,10 @@
     /// Fails if the server cannot be reached or this machine lacks the resources to connect.
     pub async fn open(address: SocketAddr) -> Result<ServerConnection, ConnectError> {
         let stream = connect(address).await?;
-        Ok(ServerConnection { stream })
+        Ok(ServerConnection {
+            stream,
+            is_long_request_pending: Cell::new(false),
+        })
     }
 
     /// Returns whether another request may be sent: the connection is open, and no unsolicited bytes have arrived.
@@ -70,10 +86,14 @@
     /// # Errors
     /// Fails if `sending` denies a write, the connection fails, or the response is malformed.
     pub async fn request(&self, sending: Sending<'_>) -> io::Result<BegunResponse> {
+        let [_, request_body] = sending.request;
+        self.is_long_request_pending
+            .set(request_body.len() > MAX_BODY_BYTES);
         self.send(&sending).await?;
         (sending.on_written)();
         let mut buffer = Vec::new();
         let (response, framing) = self.read_final_head(&mut buffer).await?;
+        self.is_long_request_pending.set(false);
         if matches!(framing, ResponseFraming::Length(length) if length > MAX_LONG_BODY_BYTES) {
             return Err(MessageError::BodyTooLong.into());
         }
