An id that comes again after its client left is refused with 409

Cause: the table that refuses ids in use forgets a request with its attempt, not with the server's work. By PROTOCOL the id is new with every request, also with a client's retry, so one that comes again is the same request.

--- a/crates/engine/src/engine.rs
+++ b/crates/engine/src/engine.rs
@@ -9,6 +9,7 @@
 mod requests;
 mod timer_loop;
 
+use crate::abandoned_requests::AbandonedRequests;
 use crate::clock::Clock;
 use crate::counters::RequestCounters;
 use crate::ports::{CounterCall, EndpointObserver, PolicyLease, UsageReporter};
@@ -34,6 +35,7 @@
     /// The buffer for actions, kept between events so that its allocation is reused.
     action_buffer: Vec<Action>,
     requests: RequestTable,
+    abandoned_requests: AbandonedRequests,
     timers: Timers,
 }
 
@@ -79,6 +81,7 @@
                 events: VecDeque::new(),
                 action_buffer: Vec::new(),
                 requests: RequestTable::default(),
+                abandoned_requests: AbandonedRequests::default(),
                 timers: Timers::default(),
             }),
             endpoint_observers,
--- a/crates/engine/src/engine/requests.rs
+++ b/crates/engine/src/engine/requests.rs
@@ -30,7 +30,7 @@
     /// Accepts a request. Its final response is sent to the returned receiver before the client leaves.
     ///
     /// # Errors
-    /// Returns [`DuplicateRequest`] if the engine holds a request with the same id.
+    /// Returns [`DuplicateRequest`] if the engine holds a request with the same id, or one was abandoned lately.
     pub fn submit(
         self: &Rc<Self>,
         incoming: IncomingRequest,
@@ -52,7 +52,8 @@
             .unwrap_or(client_deadline);
         {
             let mut state = self.state.borrow_mut();
-            if state.requests.contains(request.id) {
+            let is_abandoned = state.abandoned_requests.contains(request.id);
+            if is_abandoned || state.requests.contains(request.id) {
                 return Err(DuplicateRequest);
             }
             let can_cancel_attempts = payload.can_cancel_attempts();
@@ -88,17 +89,26 @@
 
     /// Records that the client of request `id` has gone, and has the request's running attempts cancelled.
     pub fn client_gone(self: &Rc<Self>, id: RequestId) {
-        let was_open = match self.state.borrow_mut().requests.get_mut(id) {
-            Some(request) => request.close().is_some(),
-            None => false,
-        };
-        if was_open {
+        if self.abandon(id) {
             debug!(target: EVENT_TARGET, request = id.0, "request.client_gone");
             self.feed(Event::ClientGone(id));
             self.remove_if_finished(id);
         }
     }
 
+    /// Closes a request whose client has gone, and keeps its id if it has had an attempt. Returns whether it was open.
+    fn abandon(&self, id: RequestId) -> bool {
+        let mut state = self.state.borrow_mut();
+        let Some(request) = state.requests.get_mut(id) else {
+            return false;
+        };
+        let was_open = request.close().is_some();
+        if was_open && !request.attempts.is_empty() {
+            state.abandoned_requests.insert(id);
+        }
+        was_open
+    }
+
     /// Records that no client waits for request `id` any more, although a server may have it and it cannot be cancelled. An
     /// attempt at a server goes on; none begins until [`Engine::resume`].
     pub fn suspend(self: &Rc<Self>, id: RequestId) {
--- a/crates/engine/src/lib.rs
+++ b/crates/engine/src/lib.rs
@@ -5,6 +5,7 @@
 //! is opaque to the engine, and back ends, discovery and the shared counter are connected through the traits and types
 //! of [`ports`].
 
+mod abandoned_requests;
 mod attempt_permit;
 mod clock;
 mod counters;
--- a/crates/engine/src/ports/request.rs
+++ b/crates/engine/src/ports/request.rs
@@ -35,5 +35,5 @@
     },
 }
 
-/// The error when a submitted request has the id of a request that the engine holds.
+/// The error when a submitted request has the id of a request that the engine holds, or whose client left lately.
 pub struct DuplicateRequest;
--- a/crates/frosthatch/tests/clients.rs
+++ b/crates/frosthatch/tests/clients.rs
@@ -382,6 +382,24 @@
     assert_eq!(server.drain_request_count(), 0);
 }
 
+/// Guards against a request that runs twice: its id comes again after its client has left, and the server goes on with
+/// the first.
+#[test]
+fn an_id_whose_client_has_left_is_refused_with_409() {
+    let server = Server::new(|_| Reply::Silence);
+    let discovery = Discovery::new(&endpoint_entry("a", server.address, 0, "Ready"));
+    let gateway = Gateway::start_alone(&discovery);
+    for request in [ClientRequest::check(), ClientRequest::top_up()] {
+        let mut client = gateway.client();
+        client.send(&request.to_text());
+        server.next_request();
+        drop(client);
+        server.wait_closed();
+        assert_eq!(gateway.request(&request).status(), 409);
+        assert_eq!(server.drain_request_count(), 0);
+    }
+}
+
 #[test]
 fn after_sigterm_the_gateway_answers_held_and_new_requests_and_exits() {
     let server = Server::new(|m| {
--- a/crates/http1/src/server/bad_request.rs
+++ b/crates/http1/src/server/bad_request.rs
@@ -1,5 +1,5 @@
 //! Reasons why requests are rejected: by the checks before the engine, or by the engine because a request with the same
-//! identifier is in flight.
+//! identifier is in flight or was abandoned lately.
 
 use std::time::Duration;
 
@@ -39,7 +39,7 @@
     /// The request is still incomplete at the request deadline of the shutdown.
     #[error("this gateway ends")]
     ShuttingDown,
-    /// A request with the same identifier is in flight.
+    /// A request with the same identifier is in flight, or its client has left lately.
     #[error("a request with this id is open")]
     Duplicate,
 }
