Connections rest longer while servers send second answers

Cause: a connection is taken again after 25 ms, on the assumption that a second copy comes no later; a server that stands still for 250 ms before it sends it as the first thing the next request gets. Unsolicited bytes that were seen elsewhere changed nothing.

Change: unsolicited bytes, wherever they are seen, make all connections rest for 0.5 s for the next 60 s. Judged for all servers together: for each alone, the first such copy of each server would be a risk. Ruled out: no reuse at all (servers hold few connections); a mark in the answer (there is none to check).

--- a/crates/frosthatch/tests/outcomes.rs
+++ b/crates/frosthatch/tests/outcomes.rs
@@ -5,6 +5,7 @@
 use std::net::TcpListener;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::Arc;
+use std::time::Duration;
 
 /// Starts two servers in the given cells. The first request at either gets the reply `first`, all later ones are
 /// served.
@@ -230,6 +231,39 @@
     }
 }
 
+/// Guards against a second copy of an answer that comes later than usual, as its server stands still before it: the next
+/// request on the connection would get it. That servers send second copies has shown before.
+#[test]
+fn a_second_copy_behind_a_stand_still_is_served_to_no_request() {
+    let server = Server::new(|m| {
+        let body = m.header("X-Trace-Id").unwrap_or("").to_string();
+        let single_answer = format!(
+            "HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{body}",
+            body.len()
+        );
+        let pause = Duration::from_millis(if m.line.contains("still") { 300 } else { 10 });
+        Reply::BytesThenMore(single_answer.clone(), pause, single_answer)
+    });
+    let discovery = Discovery::new(&endpoint_entry("a", server.address, 0, "Ready"));
+    let gateway = Gateway::start_alone(&discovery);
+    let exchange = |path| {
+        let client_request = ClientRequest {
+            path,
+            ..ClientRequest::check()
+        };
+        let answer = gateway.request(&client_request);
+        assert_eq!(answer.body, client_request.header("X-Trace-Id"), "{path}");
+        std::thread::sleep(Duration::from_millis(50));
+    };
+    for _ in 0..5 {
+        exchange("/balance-check");
+    }
+    for _ in 0..5 {
+        exchange("/balance-check?still");
+        exchange("/balance-check");
+    }
+}
+
 /// An answer with neither length nor chunks ends with its connection, whether or not it has `Connection: close`
 /// (RFC 9112 section 6.3): by a close, because after a reset it may be incomplete.
 #[test]
--- a/crates/http1/src/backend.rs
+++ b/crates/http1/src/backend.rs
@@ -8,6 +8,7 @@
 mod pooled_connection;
 mod response_start;
 mod response_stream;
+mod reuse_delay;
 mod server_table;
 mod upstream;
 
--- a/crates/http1/src/backend/attempt.rs
+++ b/crates/http1/src/backend/attempt.rs
@@ -7,6 +7,7 @@
 use super::response_stream::ResponseStream;
 use super::upstream::{Route, Upstream};
 use crate::conn::{BegunResponse, Sending, ServerConnection, ServerResponse, WriteProgress};
+use crate::error::MessageError;
 use crate::limits::MAX_BODY_BYTES;
 use crate::staleness::StalenessEstimator;
 use frosthatch_engine::{
@@ -172,7 +173,12 @@
         };
         let reply = match begun {
             Ok(Ok(begun)) => read_reply(conn, begun, deadlines).await,
-            Ok(Err(_)) => ServerReply::ConnectionFailed,
+            Ok(Err(error)) => {
+                if MessageError::is_unsolicited(&error) {
+                    self.reuse_delay.record_unsolicited();
+                }
+                ServerReply::ConnectionFailed
+            }
             Err(_) => ServerReply::TimedOut,
         };
         ExchangeOutcome {
@@ -201,6 +207,9 @@
         response: ServerResponse,
     ) -> AttemptResult {
         let status = completion_status(&response);
+        if response.has_excess_bytes {
+            self.reuse_delay.record_unsolicited();
+        }
         let is_reusable = response.is_connection_reusable;
         let streamed_since = response.rest.is_some().then_some(begun_at);
         let mut stream = None;
--- a/crates/http1/src/backend/pooled_connection.rs
+++ b/crates/http1/src/backend/pooled_connection.rs
@@ -44,9 +44,8 @@
 }
 
 impl IdleConnection {
-    /// Returns whether the connection may carry another request: it has been idle for less than `max_idle_time`, is
-    /// open, and has no unread bytes.
-    pub(super) fn is_usable(&self, now: Instant, max_idle_time: Duration) -> bool {
-        now.duration_since(self.idle_since) < max_idle_time && self.connection.conn.is_reusable()
+    /// Returns whether the connection has been idle for less than `max_idle_time`.
+    pub(super) fn is_younger_than(&self, now: Instant, max_idle_time: Duration) -> bool {
+        now.duration_since(self.idle_since) < max_idle_time
     }
 }
--- a/crates/http1/src/backend/upstream.rs
+++ b/crates/http1/src/backend/upstream.rs
@@ -2,8 +2,10 @@
 
 use super::pooled_connection::{ConnectionSlot, IdleConnection, PooledConnection};
 use super::response_stream::ResponseStream;
+use super::reuse_delay::ReuseDelay;
 use super::server_table::{Server, ServerTable};
 use crate::body_memory::BodyReservation;
+use crate::conn::IdleState;
 use crate::staleness::StalenessEstimator;
 use frosthatch_engine::{Endpoint, EndpointObserver, RequestCounters};
 use frosthatch_traffic_control::ServerId;
@@ -16,10 +18,6 @@
 use tokio::sync::Notify;
 use tokio::time::{sleep, Instant};
 
-/// Minimum idle time before a connection is reused. A server may send a second response to a request, some milliseconds
-/// late, which would be taken for the response to the next request; on an idle connection it is detected as
-/// unsolicited.
-const MIN_IDLE_BEFORE_REUSE: Duration = Duration::from_millis(25);
 /// Interval at which idle connections are checked.
 const STALE_CHECK_INTERVAL: Duration = Duration::from_secs(1);
 
@@ -50,6 +48,7 @@
     open_connections: Rc<Cell<usize>>,
     pub(super) counters: Rc<RequestCounters>,
     pub(super) staleness: RefCell<StalenessEstimator>,
+    pub(super) reuse_delay: ReuseDelay,
     /// Earliest time of the next retry to connect after a local shortage (see [`super::connect`]).
     pub(super) next_reconnect_at: Cell<Instant>,
     long_request_bytes_available: Arc<AtomicUsize>,
@@ -64,6 +63,7 @@
             open_connections: Rc::default(),
             counters,
             staleness: RefCell::default(),
+            reuse_delay: ReuseDelay::default(),
             next_reconnect_at: Cell::new(Instant::now()),
             long_request_bytes_available: Arc::new(AtomicUsize::new(limits.max_long_request_bytes)),
             limits,
@@ -103,18 +103,28 @@
         let mut table = self.table.borrow_mut();
         let idle = &mut table.servers.get_mut(server)?.idle;
         let max_idle_time = self.max_idle_time();
-        while let Some(index) = idle
-            .iter()
-            .rposition(|i| i.idle_since.elapsed() >= MIN_IDLE_BEFORE_REUSE)
-        {
+        let is_rested =
+            |i: &IdleConnection| i.idle_since.elapsed() >= self.reuse_delay.min_idle_time();
+        while let Some(index) = idle.iter().rposition(is_rested) {
             let candidate = idle.remove(index);
-            if candidate.is_usable(Instant::now(), max_idle_time) {
+            if candidate.is_younger_than(Instant::now(), max_idle_time)
+                && self.is_reusable(&candidate.connection)
+            {
                 return Some(candidate);
             }
         }
         None
     }
 
+    /// Returns whether a connection without a request in flight may carry another one. Records unsolicited bytes.
+    fn is_reusable(&self, connection: &PooledConnection) -> bool {
+        let state = connection.conn.idle_state();
+        if state == IdleState::HasUnsolicitedBytes {
+            self.reuse_delay.record_unsolicited();
+        }
+        state == IdleState::Reusable
+    }
+
     /// Returns a connection to the pool, or closes it if it is not reusable or the server no longer takes requests at
     /// `address`.
     pub(super) fn put_back(
@@ -131,7 +141,7 @@
         let Some(same_server) = same_server else {
             return;
         };
-        if connection.conn.is_reusable() {
+        if self.is_reusable(&connection) {
             same_server.idle.push(IdleConnection {
                 connection,
                 idle_since: Instant::now(),
@@ -180,9 +190,9 @@
         let now = Instant::now();
         let max_idle_time = self.max_idle_time();
         for server in self.table.borrow_mut().servers.values_mut() {
-            server
-                .idle
-                .retain(|idle| idle.is_usable(now, max_idle_time));
+            server.idle.retain(|idle| {
+                idle.is_younger_than(now, max_idle_time) && self.is_reusable(&idle.connection)
+            });
         }
     }
 }
--- a/crates/http1/src/conn.rs
+++ b/crates/http1/src/conn.rs
@@ -35,6 +35,17 @@
     Begun,
 }
 
+/// State of a connection between two requests.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum IdleState {
+    /// Another request may be sent.
+    Reusable,
+    /// The server has sent bytes that answer no request.
+    HasUnsolicitedBytes,
+    /// The connection has ended.
+    Ended,
+}
+
 /// Request to write to a server, with the callback that permits each write and the callback for the end of the writing.
 pub struct Sending<'a> {
     /// Head and body.
@@ -78,7 +89,16 @@
 
     /// Returns whether another request may be sent: the connection is open, and no unsolicited bytes have arrived.
     pub fn is_reusable(&self) -> bool {
-        peek(&self.stream).is_err_and(|e| e.kind() == io::ErrorKind::WouldBlock)
+        self.idle_state() == IdleState::Reusable
+    }
+
+    /// Returns the state of the connection between two requests.
+    pub fn idle_state(&self) -> IdleState {
+        match peek(&self.stream) {
+            Ok(1..) => IdleState::HasUnsolicitedBytes,
+            Err(e) if e.kind() == io::ErrorKind::WouldBlock => IdleState::Reusable,
+            Ok(_) | Err(_) => IdleState::Ended,
+        }
     }
 
     /// Sends a request and reads its response, up to the end of its head and what arrived with that.
--- a/crates/http1/src/conn/begun_response.rs
+++ b/crates/http1/src/conn/begun_response.rs
@@ -57,7 +57,8 @@
         } = self;
         response.body = body.into();
         if is_complete {
-            response.is_connection_reusable &= rest.has_no_excess_bytes();
+            response.has_excess_bytes = !rest.has_no_excess_bytes();
+            response.is_connection_reusable &= !response.has_excess_bytes;
         } else {
             response.rest = Some(rest);
         }
--- a/crates/http1/src/conn/response.rs
+++ b/crates/http1/src/conn/response.rs
@@ -33,6 +33,8 @@
     pub load_report: Vec<(LoadMetric, f64)>,
     /// Whether the connection stays open and no bytes follow the response on it.
     pub is_connection_reusable: bool,
+    /// Whether bytes that answer no request were read behind the response.
+    pub has_excess_bytes: bool,
     /// Unread part of a long body.
     pub rest: Option<RemainingBody>,
 }
@@ -75,6 +77,7 @@
         load_report: find_header(headers, LOAD_METRICS_HEADER)
             .map_or_else(Vec::new, parse_load_report),
         is_connection_reusable: is_persistent,
+        has_excess_bytes: false,
         rest: None,
     };
     Ok(Some((ResponseHead::Final(response, framing), head_bytes)))
--- a/crates/http1/src/error.rs
+++ b/crates/http1/src/error.rs
@@ -44,6 +44,14 @@
     HeadTooLong,
 }
 
+impl MessageError {
+    /// Returns whether an I/O error was caused by [`MessageError::Unsolicited`].
+    pub fn is_unsolicited(error: &io::Error) -> bool {
+        let cause = error.get_ref().and_then(|cause| cause.downcast_ref());
+        cause == Some(&MessageError::Unsolicited)
+    }
+}
+
 impl From<MessageError> for io::Error {
     fn from(error: MessageError) -> Self {
         io::Error::new(io::ErrorKind::InvalidData, error)
--- a/crates/test-doubles/src/http.rs
+++ b/crates/test-doubles/src/http.rs
@@ -94,6 +94,8 @@
     Bytes(String),
     /// Sends the first bytes and, 2 ms later, the second.
     BytesInTwoParts(String, String),
+    /// Sends the first bytes and, after this time, in which it reads nothing, the second.
+    BytesThenMore(String, Duration, String),
     /// Sends these bytes and, 30 ms later, closes the connection.
     BytesThenClose(String),
     /// Sends these bytes and, 30 ms later, resets the connection.
@@ -303,6 +305,11 @@
                 thread::sleep(Duration::from_millis(2));
                 let _ = write.write_all(rest.as_bytes());
             }
+            Reply::BytesThenMore(bytes, pause, more) => {
+                let _ = write.write_all(bytes.as_bytes());
+                thread::sleep(pause);
+                let _ = write.write_all(more.as_bytes());
+            }
             Reply::BytesThenClose(bytes) => {
                 let _ = write.write_all(bytes.as_bytes());
                 thread::sleep(Duration::from_millis(30));
