--- a/crates/diameter/src/link.rs
+++ b/crates/diameter/src/link.rs
@@ -2,22 +2,22 @@
 //! expire. All protocol rules are in the state machine.
 
 mod end;
+mod reading;
 mod write_queue;
+mod writing;
 
 pub use end::LinkEndReason;
 pub use write_queue::{QueuedMessage, SentAttempt, WriteBudget, WriteHandle};
 
-use crate::codec::{self, Fault, Message};
+use crate::codec::{Fault, Message};
 use crate::peer::{DisconnectCause, Input, Output, Peer, RemoteIdentity};
-use bytes::{Bytes, BytesMut};
 use frosthatch_engine::AttemptPermit;
 use frosthatch_sockets::Uninterrupted;
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
 use std::time::Duration;
-use tokio::io::{self, AsyncRead, AsyncReadExt, AsyncWrite, AsyncWriteExt};
+use tokio::io::{self, AsyncRead, AsyncWrite};
 use tokio::sync::{mpsc, oneshot, Notify};
-use tokio::task::yield_now;
 use tokio::time::sleep;
 use write_queue::QueuedAttempt;
 
@@ -26,14 +26,8 @@
 
 /// Maximum number of messages queued for writing on one connection.
 const MAX_QUEUED_MESSAGES: usize = 1_024;
-/// Buffer space reserved for one read.
-const READ_CHUNK_BYTES: usize = 8 << 10;
-/// Maximum time between two checks of the state machine's timers.
-const MAX_TIMER_WAIT_US: u64 = 1_000_000;
 /// Maximum number of checks whether the messages queued at closing have been written.
 const MAX_FLUSH_CHECKS: usize = 20;
-/// Interval between two checks whether an attempt that is written in part may still be written.
-const PERMIT_CHECK_INTERVAL: Duration = Duration::from_millis(10);
 /// Interval between two checks whether the messages queued at closing have been written.
 const FLUSH_CHECK_INTERVAL: Duration = Duration::from_millis(5);
 
@@ -176,152 +170,6 @@
         }
     }
 
-    /// Writes queued messages until a write fails or an attempt's permit lapses during its write.
-    async fn write_messages(
-        &self,
-        mut writer: impl AsyncWrite + Unpin,
-        mut queued_messages: mpsc::Receiver<QueuedMessage>,
-    ) -> LinkEndReason {
-        while let Some(QueuedMessage { bytes, attempt }) = queued_messages.recv().await {
-            let written = match attempt {
-                None => self.write_message(&mut writer, &bytes).await,
-                Some(attempt) => self.write_attempt(&mut writer, &bytes, attempt).await,
-            };
-            if let Err(end) = written {
-                return end;
-            }
-        }
-        LinkEndReason::WriteFailed
-    }
-
-    /// Writes the message of an attempt, or discards it if it was withdrawn or its permit has lapsed while it was queued
-    /// because the peer was slow to read.
-    ///
-    /// # Errors
-    /// Returns the reason if the connection has to end.
-    async fn write_attempt(
-        &self,
-        writer: &mut (impl AsyncWrite + Unpin),
-        bytes: &[u8],
-        attempt: QueuedAttempt,
-    ) -> Result<(), LinkEndReason> {
-        let QueuedAttempt {
-            permit,
-            write,
-            denied,
-        } = attempt;
-        if let Err(reason) = permit.check() {
-            write.withdraw();
-            let _ = denied.send(reason);
-        }
-        if !write.begin() {
-            self.release(bytes.len());
-            return Ok(());
-        }
-        let written = self.write_message(writer, bytes);
-        tokio::pin!(written);
-        loop {
-            tokio::select! {
-                biased;
-                written = &mut written => {
-                    written?;
-                    permit.record_written(None);
-                    return Ok(());
-                }
-                () = sleep(PERMIT_CHECK_INTERVAL) => {
-                    if permit.check().is_err() {
-                        return Err(LinkEndReason::AttemptLapsed);
-                    }
-                }
-            }
-        }
-    }
-
-    /// Writes a message.
-    ///
-    /// # Errors
-    /// Returns the reason if the write fails.
-    async fn write_message(
-        &self,
-        writer: &mut (impl AsyncWrite + Unpin),
-        bytes: &[u8],
-    ) -> Result<(), LinkEndReason> {
-        let failed = |_| LinkEndReason::WriteFailed;
-        writer.write_all(bytes).await.map_err(failed)?;
-        // There is no await between the last byte and this line, so that a sent message never counts as unwritten.
-        self.release(bytes.len());
-        writer.flush().await.map_err(failed)
-    }
-
-    /// Reads messages and handles timers until the connection ends.
-    async fn read_messages(
-        &self,
-        mut reader: impl AsyncRead + Unpin,
-        mut on_event: impl FnMut(Event),
-    ) -> LinkEndReason {
-        let mut buffer = BytesMut::new();
-        let mut out = Vec::new();
-        self.handle(Input::Connected, &mut out);
-        loop {
-            for output in out.drain(..) {
-                if let Err(end) = self.apply(output, &mut on_event).await {
-                    return end;
-                }
-            }
-            match next_message(&mut buffer) {
-                Ok(Some(bytes)) => {
-                    self.handle(decode(bytes), &mut out);
-                    // The next message may have arrived already: the other connections have their turn first.
-                    yield_now().await;
-                    continue;
-                }
-                Ok(None) => {}
-                Err(fault) => {
-                    let code = fault.result_code;
-                    return LinkEndReason::InvalidFrame { code };
-                }
-            }
-            buffer.reserve(READ_CHUNK_BYTES);
-            tokio::select! {
-                read = reader.read_buf(&mut buffer) => if !matches!(read, Ok(length) if length > 0) {
-                    return LinkEndReason::ConnectionEnded;
-                },
-                () = sleep(self.timer_wait()) => {
-                    self.peer.borrow_mut().handle_timeout((self.clock)(), &mut out);
-                }
-                () = self.abandoned.notified() => return LinkEndReason::Abandoned,
-            }
-        }
-    }
-
-    /// Executes an output of the state machine.
-    ///
-    /// # Errors
-    /// Returns the reason if the connection ends.
-    async fn apply(
-        &self,
-        output: Output,
-        on_event: &mut impl FnMut(Event),
-    ) -> Result<(), LinkEndReason> {
-        match output {
-            Output::Send(message) => {
-                self.send_control(&message)
-                    .ok_or(LinkEndReason::PeerNotReading)?;
-            }
-            Output::Close(reason) => {
-                self.flush().await;
-                return Err(LinkEndReason::Closed(reason));
-            }
-            Output::Up(remote) => on_event(Event::Up(remote)),
-            Output::Failover => on_event(Event::Failover),
-            Output::Failback => on_event(Event::Failback),
-            Output::PeerClosing => on_event(Event::PeerClosing),
-            Output::Request(message) => on_event(Event::Request(message)),
-            Output::Answer(message) => on_event(Event::Answer(message)),
-        }
-        Ok(())
-    }
-
     /// Waits until the currently queued messages have been written, at most `MAX_FLUSH_CHECKS * FLUSH_CHECK_INTERVAL`.
     async fn flush(&self) {
         let end = self.queued_bytes.get();
@@ -338,12 +186,6 @@
         self.peer.borrow_mut().handle((self.clock)(), input, out);
     }
 
-    /// Returns the time until the state machine's timers are to be checked.
-    fn timer_wait(&self) -> Duration {
-        let wait_us = self.peer.borrow().due_us().saturating_sub((self.clock)());
-        Duration::from_micros(wait_us.min(MAX_TIMER_WAIT_US))
-    }
-
     /// Queues a message if the write budget allows it.
     fn queue_within_budget(&self, bytes: Vec<u8>, attempt: Option<QueuedAttempt>) -> Option<u64> {
         if !self
@@ -394,18 +236,5 @@
     }
 }
 
-/// Removes and returns the first message in the buffer, or returns `None` while the message is incomplete.
-fn next_message(buffer: &mut BytesMut) -> Result<Option<Bytes>, Fault> {
-    let length = codec::first_message_length(buffer)?;
-    Ok(length.map(|length| buffer.split_to(length).freeze()))
-}
-
-fn decode(bytes: Bytes) -> Input {
-    match Message::decode(bytes) {
-        Ok(message) => Input::Message(message),
-        Err(decode_error) => Input::Undecodable(decode_error),
-    }
-}
-
 #[cfg(test)]
 mod tests;
