Shorter functions where the fixes made them grow

An attempt's deadlines, and the start of the accept task with its listener, in functions of their own; nothing else changes. Tests of the engine, slow_answers, shutdown and upgrade pass; clippy and fmt clean.

--- a/crates/engine/src/engine/attempts.rs
+++ b/crates/engine/src/engine/attempts.rs
@@ -23,6 +23,24 @@
     pub pass_on_after_us: Micros,
 }
 
+impl AttemptTimeLimits {
+    /// Returns the deadlines of an attempt that starts at `started_at`. The decision may have taken long, as when the process
+    /// got no processor: the attempt still ends by `latest_end`, before the answer is due, so that traffic control decides
+    /// on the answer.
+    fn deadlines(
+        &self,
+        started_at: Instant,
+        latest_end: Instant,
+        may_pass_on: bool,
+    ) -> AttemptDeadlines {
+        let after = |us| (started_at + Duration::from_micros(us)).min(latest_end);
+        AttemptDeadlines {
+            answer_by: after(self.timeout_us),
+            pass_on_at: may_pass_on.then(|| after(self.pass_on_after_us)),
+        }
+    }
+}
+
 impl Engine {
     /// Starts an attempt of request `id` on `server`, unless the request is closed.
     pub(super) fn start_attempt(
@@ -61,15 +79,9 @@
             request.client.clone(),
             self.violations.clone(),
         );
-        // The decision may have taken long, as when the process got no processor: the attempt still ends before the answer
-        // is due, so that traffic control decides on the answer.
         let latest_end = decision_deadline(request.client_deadline);
-        let after = |us| (started_at + Duration::from_micros(us)).min(latest_end);
-        let answer_by = after(limits.timeout_us);
-        let deadlines = AttemptDeadlines {
-            answer_by,
-            pass_on_at: (!request.had_silent_response).then(|| after(limits.pass_on_after_us)),
-        };
+        let deadlines = limits.deadlines(started_at, latest_end, !request.had_silent_response);
+        let answer_by = deadlines.answer_by;
         let mut running = payload.attempt(&server, deadlines, permit);
         let can_cancel_attempts = request.can_cancel_attempts;
         let engine = self.clone();
--- a/crates/frosthatch/src/gateway/start.rs
+++ b/crates/frosthatch/src/gateway/start.rs
@@ -25,11 +25,11 @@
 use services::Services;
 use std::net::SocketAddr;
 use std::path::PathBuf;
-use std::rc::Rc;
+use std::rc::{Rc, Weak};
 use std::time::Duration;
 use tokio::net::TcpListener;
 use tokio::sync::{mpsc, Notify};
-use tokio::task::spawn_local;
+use tokio::task::{spawn_local, AbortHandle};
 
 /// Starts all parts of the gateway.
 ///
@@ -61,9 +61,7 @@
     );
     // A process that replaces another accepts connections only once it is ready; until then the old process serves.
     http_server.set_accepting(inherited.is_none());
-    // The task owns the listener, so that the listener closes with it.
-    let shared_listener = Rc::downgrade(&listener);
-    let accept_task = spawn_local(http_server.clone().accept(listener)).abort_handle();
+    let (accept_task, shared_listener) = spawn_accept(&http_server, listener);
     let exit_requested = Rc::new(Notify::new());
     let host = RestartHost {
         listener: shared_listener,
@@ -217,6 +215,17 @@
     Ok(Rc::new(listener))
 }
 
+/// Starts to accept HTTP clients. Returns the handle of the task, which alone owns the listener, so that the listener
+/// closes with it.
+fn spawn_accept(
+    http_server: &Rc<HttpServer>,
+    listener: Rc<TcpListener>,
+) -> (AbortHandle, Weak<TcpListener>) {
+    let shared_listener = Rc::downgrade(&listener);
+    let accepting = spawn_local(http_server.clone().accept(listener));
+    (accepting.abort_handle(), shared_listener)
+}
+
 /// Starts the hot restart task, which covers both roles: this process may replace another and may be replaced.
 fn spawn_hot_restart(
     path: PathBuf,
