Diameter: a cancelled INITIAL takes no place among the sessions

An INITIAL of such a client kept its place under most_sessions until it expired, an hour by default: clients that connect, send one and leave while it waits could fill the table.

Change: cancelling removes the session that the request would have opened, by the rule for refused ones; a session that a server has opened stays.

Test: a_session_whose_initial_request_is_cancelled_takes_no_place, fails without the line (1 session, 0 expected). The two calls in the test beside it pass the request as well.

--- a/crates/diameter/src/credit.rs
+++ b/crates/diameter/src/credit.rs
@@ -146,16 +146,18 @@
         clients.len() < waiting && clients.is_empty()
     }
 
-    /// Removes disconnected clients from a request, and the request itself if that removes the last client. Returns whether
-    /// the request was removed.
+    /// Removes disconnected clients from a request that no server has. If that removes the last client, also removes the
+    /// request and the session that it would have opened. Returns whether the request was removed.
     pub fn cancel_for_clients(
         &mut self,
         key: &RequestKey,
+        ccr: &Message,
         is_disconnected: impl Fn(&C) -> bool,
     ) -> bool {
         let has_no_clients = self.remove_clients(key, is_disconnected);
         if has_no_clients {
             self.duplicates.remove(key);
+            self.sessions.apply_rejection(ccr);
         }
         has_no_clients
     }
--- a/crates/diameter/src/credit/sessions.rs
+++ b/crates/diameter/src/credit/sessions.rs
@@ -119,7 +119,7 @@
         }
     }
 
-    /// Removes the session that `ccr` would have opened: the gateway rejected it, and no server has it.
+    /// Removes the session that `ccr` would have opened: the gateway rejected or cancelled it, and no server has it.
     pub(super) fn apply_rejection(&mut self, ccr: &Message) {
         let request_type = ccr.u32_value(code::CC_REQUEST_TYPE);
         if request_type.and_then(RequestType::from_code) != Some(RequestType::Initial) {
--- a/crates/diameter/src/front.rs
+++ b/crates/diameter/src/front.rs
@@ -194,11 +194,11 @@
                 if has_no_clients {
                     self.engine.suspend(id);
                 }
-            } else if self
-                .credit
-                .borrow_mut()
-                .cancel_for_clients(&request.key, is_disconnected)
-            {
+            } else if self.credit.borrow_mut().cancel_for_clients(
+                &request.key,
+                &request.ccr,
+                is_disconnected,
+            ) {
                 self.in_flight.borrow_mut().remove(id);
                 self.engine.client_gone(id);
             }
--- a/crates/diameter/src/front/in_flight.rs
+++ b/crates/diameter/src/front/in_flight.rs
@@ -1,5 +1,6 @@
 //! Requests that have been submitted to the engine and are not answered yet.
 
+use crate::codec::Message;
 use crate::credit::RequestKey;
 use crate::servers::AttemptHistory;
 use frosthatch_traffic_control::RequestId;
@@ -10,6 +11,7 @@
 #[derive(Clone)]
 pub(super) struct InFlightRequest {
     pub(super) key: RequestKey,
+    pub(super) ccr: Rc<Message>,
     /// Approximate memory use of the request's AVPs.
     pub(super) bytes: usize,
     /// What the request's attempts have come to.
--- a/crates/diameter/src/front/requests.rs
+++ b/crates/diameter/src/front/requests.rs
@@ -120,6 +120,7 @@
         };
         let in_flight = InFlightRequest {
             key: submission.key.clone(),
+            ccr: submission.ccr.clone(),
             bytes: submission.ccr.memory_bytes(),
             history: submission.history.clone(),
         };
--- a/crates/diameter/tests/crediting.rs
+++ b/crates/diameter/tests/crediting.rs
@@ -425,8 +425,8 @@
     let ccr = event_ccr(0, 1);
     let (key, _) = expect_submitted(&mut credit, 0, &ccr);
     credit.handle_ccr(0, &ccr, 2);
-    assert!(!credit.cancel_for_clients(&key, |client| *client == 1));
-    assert!(credit.cancel_for_clients(&key, |client| *client == 2));
+    assert!(!credit.cancel_for_clients(&key, &ccr, |client| *client == 1));
+    assert!(credit.cancel_for_clients(&key, &ccr, |client| *client == 2));
     assert!(credit
         .complete(1, &key, &ccr, &answer(&ccr, 2001), Some("s"))
         .is_empty());
@@ -548,6 +548,23 @@
     expect_submitted(&mut credit, 0, &event_ccr(0, 3));
 }
 
+/// Guards against a gateway that refuses all sessions because those whose clients left before a server had them keep their
+/// places.
+#[test]
+fn a_session_whose_initial_request_is_cancelled_takes_no_place() {
+    let mut credit = CreditControl::new(mapping());
+    let initial = ccr("s", 1, 0, 1).with_avp(subscription(0, "1"));
+    let (key, _) = expect_submitted(&mut credit, 0, &initial);
+    assert!(credit.cancel_for_clients(&key, &initial, |client| *client == 1));
+    assert_eq!(credit.session_count(), 0);
+    // An open session stays when one of its later requests is cancelled.
+    serve(&mut credit, 0, &initial, "server");
+    let update = ccr("s", 2, 1, 2);
+    let (key, _) = expect_submitted(&mut credit, 0, &update);
+    assert!(credit.cancel_for_clients(&key, &update, |client| *client == 1));
+    assert_eq!(credit.session_count(), 1);
+}
+
 /// Guards against a gateway that refuses all sessions because those that it refused keep their places.
 #[test]
 fn a_session_whose_initial_request_is_rejected_takes_no_place() {
